Leave a tandem alone after a turn-back

Cause: 25 to 50% of attempts were turned back by tandems whose second group was full, tried again after C.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -29,6 +29,7 @@
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: a two-leg call displaces two direct ones
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 WAIT_STEP = 50.0  # ms between looks at waiting calls: well below any target, and cheap
+TURN_BACK_REST = 3000.0  # ms a tandem is left alone for one destination after it turned a call back
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
 COLD_USE = 0.5  # part of a cold switch's tolerable load that all proxies together plan to use
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
@@ -46,6 +47,8 @@
     last_use: float = -1.0
     stood: deque[float] = field(default_factory=deque)
 
+    turned_back: float = -1.0  # when a tandem last turned a call back for want of a circuit beyond
+
     def shut(self, now: float, limit: float) -> bool:
         """Evidence counts by when the set-up was sent, so the late end of an old one undoes nothing newer.
 
@@ -188,6 +191,8 @@
         if event.cause is Cause.TURNED_BACK_FULL:  # the destination is at fault, not the tandem
             self.direct_rung(destination).bad_sent = max(self.direct_rung(destination).bad_sent, sent)
             self.direct_rung(destination).last_use = self.now
+        if event.cause is Cause.TURNED_BACK:
+            rung.turned_back = self.now
         self.detach(call)
         if event.concluded:
             self.forget(event.call)
@@ -370,6 +375,11 @@
         place = self.switches[tandem].entry.exchange
         if self.rung(place, tandem).shut(self.now, self.limit):
             return False
+        # guards against calls sent again and again over a tandem whose group beyond is full: its turn-back is
+        # believed for longer than a late answer, as a circuit frees more slowly than a queue drains
+        turned_back = self.rung(call.offer.destination, tandem).turned_back
+        if turned_back >= 0 and self.now - turned_back < TURN_BACK_REST:
+            return False
         return not self.rung(call.offer.destination, direct).shut(self.now, self.limit)
 
     def near_pressed(self) -> bool:
