--- a/dapplehinge/interface.py
+++ b/dapplehinge/interface.py
@@ -153,6 +153,7 @@
     redialled: bool = False
     cut_before: bool = False
     tenant: int = 0
+    number: int = 0  # the number dialled; 0: not told
     advised: int = -1  # tandem with most room at a centre's last look; -1: none
 
 
--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -30,6 +30,8 @@
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 WAIT_STEP = 50.0  # ms between looks at waiting calls: well below any target, and cheap
 TURN_BACK_REST = 3000.0  # ms a tandem is left alone for one destination after it turned a call back
+ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
+ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
 COLD_USE = 0.5  # part of a cold switch's tolerable load that all proxies together plan to use
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
@@ -109,6 +111,7 @@
         self.waiting: dict[int, Call] = {}
         self.arrivals: dict[int, deque[float]] = {}
         self.tenant_calls = [0.0] * len(settings.tenant_quotas)
+        self.engaged: dict[int, tuple[float, float]] = {}  # number -> rest, and when it ends
         self.mean_worth = 0.0
         self.send_rate = 0.0  # set-ups a second this proxy sends, by exponential forgetting
         self.last_send = 0.0
@@ -162,7 +165,10 @@
             worth = self.worth(offer, count=True)
             self.mean_worth += (worth - self.mean_worth) / 50 if self.mean_worth else worth
         self.set_timer(max(0.0, offer.budget - self.slack), offer.call)
-        self.advance(call)
+        if self.number_rests(offer):
+            self.refuse(call)
+        else:
+            self.advance(call)
 
     def stands(self, event: CallStands) -> None:
         call = self.calls.get(event.call)
@@ -174,8 +180,22 @@
             rung.stood.append(self.now)
         else:
             rung.bad_sent = max(rung.bad_sent, call.sent)
+        self.engaged.pop(call.offer.number, None)
         self.forget(event.call)
 
+    def number_rests(self, offer: CallOffered) -> bool:
+        """Guards against many callers dialling one number whose lines are all engaged.
+
+        Each such try costs every processor on the way and can't stand. One try passes after each rest. It holds
+        against any number that keeps failing so, and may hurt where lines free faster than the rest.
+        """
+        rest, until = self.engaged.get(offer.number, (0.0, 0.0))
+        if self.now < until:
+            return True
+        if rest:
+            self.engaged[offer.number] = (rest, self.now + rest)
+        return False
+
     def ended(self, event: AttemptEnded) -> None:
         call = self.calls.get(event.call)
         if call is None or call.out_to is None:
@@ -208,6 +228,10 @@
         if call.offer.in_transit:
             self.refuse(call)
         elif outcome is Outcome.LINE_BUSY and event.cause is Cause.LINES_ENGAGED:
+            number = call.offer.number
+            if number:
+                rest = min(ENGAGED_REST_MOST, 2 * self.engaged.get(number, (ENGAGED_REST / 2, 0.0))[0])
+                self.engaged[number] = (rest, self.now + rest)
             self.end_failed(call)
         else:
             if outcome is not Outcome.NOT_SENT:
--- a/dapplehinge/wirehost.py
+++ b/dapplehinge/wirehost.py
@@ -309,7 +309,7 @@
         return self.tell(self.instance(number), api.SwitchList(kind, entries))
 
     def submit(self) -> list[bytes]:
-        number, call, category, advised, _, marks, budget, _, dest, width, party = self.take(SUBMIT)
+        number, call, category, advised, dialled, marks, budget, _, dest, width, party = self.take(SUBMIT)
         transit = bool(marks & MARK_TRANSIT)
         event = api.CallOffered(
             call=call,
@@ -321,6 +321,7 @@
             redialled=bool(marks & MARK_REDIALLED),
             cut_before=bool(marks & MARK_CUT),
             tenant=party,
+            number=dialled,
             advised=-1 if transit else int(advised),
         )
         return self.tell(self.instance(number), event)
