Count a redialled call at its late worth

Cause: first tries and their redials shared scarce room alike, though a redial mostly stands past its target. May hurt where callers redial well within their target.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -421,7 +421,10 @@
 
     def worth(self, offer: CallOffered, count: bool = False) -> float:
         """Expected worth of a call; a tenant beyond its share of the quotas counts as partly over."""
-        worth = self.settings.classes[offer.call_class].worth
+        kind = self.settings.classes[offer.call_class]
+        worth = kind.worth
+        if offer.redialled and not offer.cut_before:  # its first try began long ago: likely past its target
+            worth *= kind.late_worth
         quotas = self.settings.tenant_quotas
         if offer.tenant < len(quotas) and sum(quotas) > 0:
             if count:
