Calls of little worth take no tandem

Cause: redials and calls over quota were spilled, each taking two groups' circuits from first tries.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -32,6 +32,7 @@
 TURN_BACK_REST = 3000.0  # ms a tandem is left alone for one destination after it turned a call back
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
+LITTLE_WORTH = 0.5  # share of the mean worth below which a call gets no last circuit and no tandem
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
 COLD_USE = 0.5  # part of a cold switch's tolerable load that all proxies together plan to use
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
@@ -340,14 +341,14 @@
             switch = self.switches[switch_id]
             spilled = switch_id != direct
             kept_back = 0
-            if spilled or offer.in_transit or worth < 0.5 * self.mean_worth:
+            if spilled or offer.in_transit or worth < LITTLE_WORTH * self.mean_worth:
                 # trunk reservation: spilled and transit calls, and calls of little worth, leave the last circuits
                 kept_back = switch.reserve()
             if switch_id in call.avoid and spilled:
                 continue
             if not switch.has_room(offer.width, kept_back) or not self.may_send(switch, call):
                 continue
-            if spilled and not self.may_spill(call, direct, switch_id, pressed):
+            if spilled and (worth < LITTLE_WORTH * self.mean_worth or not self.may_spill(call, direct, switch_id, pressed)):
                 continue
             rung = self.rung(offer.destination, switch_id)
             if not rung.shut(now, self.limit):
