--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -1,11 +1,11 @@
 """The decisions of dapplehinge: which route a call takes, when it waits, when it is refused.
 
-Types, events and actions are in `interface.py`; read that file first. A `Controller` is one signalling proxy's:
-events and the clock go in, actions come out. It does no I/O and shares nothing.
+Types, events and actions are in `interface.py`; read that file first. A `Controller` is one signalling
+proxy's: events and the clock go in, actions come out. It does no I/O and shares nothing.
 
-Ordinary path (Gallay and Hongler's smart tasks, see docs/design.md): the ladder of a destination is the direct
-route, then the tandems in a fixed order. A call takes the first rung whose delay semaphore is open, and a shut one
-with probability p = mu / (lambda * product of (1 - p) of the shut rungs before) - epsilon.
+Ordinary path (Gallay and Hongler's smart tasks, see docs/design.md): the ladder of a destination is the
+direct route, then the tandems in a fixed order. A call takes the first rung whose delay semaphore is open,
+and a shut one with probability p = mu / (lambda * product of (1 - p) of the shut rungs before) - epsilon.
 """
 
 from __future__ import annotations
@@ -16,24 +16,48 @@
 from random import Random
 
 from dapplehinge.interface import (
-    Action, AttemptEnded, CallOffered, CallStands, CallerGone, Cancel, Cause, Event, Fail, Layout, ListKind, Load,
-    Outcome, Refuse, Repeat, RepeatGroup, Settings, SetTimer, SetUp, Subscribe, SwitchEntry, SwitchId, SwitchList,
-    SwitchReport, SwitchState, TimerDue,
+    Action,
+    AttemptEnded,
+    CallerGone,
+    CallOffered,
+    CallStands,
+    Cancel,
+    Cause,
+    Event,
+    Fail,
+    Layout,
+    ListKind,
+    Load,
+    Outcome,
+    Refuse,
+    Repeat,
+    RepeatGroup,
+    SetTimer,
+    Settings,
+    SetUp,
+    Subscribe,
+    SwitchEntry,
+    SwitchId,
+    SwitchList,
+    SwitchReport,
+    SwitchState,
+    TimerDue,
 )
 
 # Tuned values. A share has no unit.
-DELAY_SHARE = 0.35  # C as a share of the tightest class target: shuts early enough to leave room for the queue behind
-RATE_CALLS = 8  # calls (K): span of the rate estimate; small, as the paper prefers, for a quick reaction
+DELAY_SHARE = 0.35  # C as a share of the tightest class target: early enough to leave room for the queue
+RATE_CALLS = 8  # calls (K): span of the rate estimate; small, as the paper prefers, to react quickly
 EPSILON_SHARE = 0.1  # epsilon as a share of the first term, so it always lies below it
-MU_SPANS = 4.0  # window of the service rate mu, in C: long enough to hold a few set-ups
-RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: a two-leg call displaces two direct ones
+MU_SPANS = 4.0  # window of the service rate mu, in C: holds a few set-ups
+RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 WAIT_STEP = 50.0  # ms between looks at waiting calls: well below any target, and cheap
-TURN_BACK_REST = 3000.0  # ms a tandem is left alone for one destination after it turned a call back
+TURN_BACK_REST = 3000.0  # ms a tandem rests for one destination after turning a call back
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
-LITTLE_WORTH = 0.5  # share of the mean worth below which a call gets no last circuit and no tandem
+LITTLE_WORTH = 0.5  # share of the mean worth: below it a call gets no last circuit and no tandem
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
+SENDS_KEPT = 200  # set-ups remembered per switch, more than any cold budget lets through
 COLD_USE = 0.5  # part of a cold switch's tolerable load that all proxies together plan to use
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
 ASK_AGAIN = 0.1  # a failed subscription is asked for again after this share of the asking limit
@@ -53,9 +77,9 @@
     turned_back: float = -1.0  # when a tandem last turned a call back for want of a circuit beyond
 
     def shut(self, now: float, limit: float) -> bool:
-        """Evidence counts by when the set-up was sent, so the late end of an old one undoes nothing newer.
+        """Evidence counts by when a set-up was sent: the late end of an old one undoes nothing newer.
 
-        A set-up still out shuts the rung as soon as C has passed; looking at the moment of use equals a timer.
+        A set-up still out shuts the rung as soon as C has passed; looking at use equals a timer.
         """
         for sent in self.out.values():
             if now - sent > limit and sent > self.bad_sent:
@@ -187,8 +211,8 @@
     def number_rests(self, offer: CallOffered) -> bool:
         """Guards against many callers dialling one number whose lines are all engaged.
 
-        Each such try costs every processor on the way and can't stand. One try passes after each rest. It holds
-        against any number that keeps failing so, and may hurt where lines free faster than the rest.
+        Each such try costs every processor on the way and can't stand. One try passes after each rest. It
+        holds against any number that keeps failing so; it may hurt where lines free faster than the rest.
         """
         rest, until = self.engaged.get(offer.number, (0.0, 0.0))
         if self.now < until:
@@ -277,7 +301,7 @@
 
     def listed(self, event: SwitchList) -> None:
         if event.kind is ListKind.FAILED:
-            # guards against a deaf proxy: the subscription is asked for again, not at once, as discovery may be full
+            # guards against a deaf proxy: asked for again, but not at once, as discovery may be full
             self.out.append(SetTimer(ASK_AGAIN * self.settings.ask_within, 1))
             return
         if event.kind is not ListKind.CHANGES:
@@ -304,6 +328,7 @@
 
     def advance(self, call: Call) -> None:
         """Bring a call that has no attempt out one step further: send it, let it wait, or end it."""
+        offer = call.offer
         if call.attempts >= self.settings.max_attempts or self.now >= call.ends - self.slack:
             self.refuse(call)
             return
@@ -317,7 +342,7 @@
         if switch_id is not None:
             self.waiting.pop(call.offer.call, None)
             self.send(call, switch_id)
-        elif call.offer.in_transit or self.now >= call.wait_until or not self.target_of(call.offer.destination):
+        elif call.offer.in_transit or self.now >= call.wait_until or not self.target_of(offer.destination):
             self.refuse(call)
         else:
             self.waiting[call.offer.call] = call
@@ -331,6 +356,9 @@
         if direct is None or offer.destination == self.settings.own_exchange:
             return None
         worth = self.worth(offer)
+        little = worth < LITTLE_WORTH * self.mean_worth
+        if self.settings.layout is Layout.NETWORK and not self.may_send(self.switches[direct], call):
+            return None  # a tandem would only carry the call to the same draining or cold switch
         ladder = [direct]
         if not offer.in_transit:
             ladder += self.tandems(offer, direct)
@@ -341,14 +369,14 @@
             switch = self.switches[switch_id]
             spilled = switch_id != direct
             kept_back = 0
-            if spilled or offer.in_transit or worth < LITTLE_WORTH * self.mean_worth:
-                # trunk reservation: spilled and transit calls, and calls of little worth, leave the last circuits
+            if spilled or offer.in_transit or little:
+                # trunk reservation: spilled, transit and low-worth calls leave the last circuits
                 kept_back = switch.reserve()
             if switch_id in call.avoid and spilled:
                 continue
             if not switch.has_room(offer.width, kept_back) or not self.may_send(switch, call):
                 continue
-            if spilled and (worth < LITTLE_WORTH * self.mean_worth or not self.may_spill(call, direct, switch_id, pressed)):
+            if spilled and (little or not self.may_spill(call, direct, switch_id, pressed)):
                 continue
             rung = self.rung(offer.destination, switch_id)
             if not rung.shut(now, self.limit):
@@ -356,7 +384,8 @@
             if offer.in_transit:
                 return None
             share = self.spill_share(rung, rate, climbed)
-            if self.random.random() < share * min(2.0, worth / self.mean_worth if self.mean_worth else 1.0):
+            favour = worth / self.mean_worth if self.mean_worth else 1.0
+            if self.random.random() < share * min(2.0, favour):
                 return switch_id
             climbed *= 1.0 - share
             if climbed <= 0.0:
@@ -364,9 +393,12 @@
         return None
 
     def spill_share(self, rung: Rung, rate: float, climbed: float) -> float:
-        if rate <= 0.0 or climbed <= 0.0:
+        served = rung.service_rate(self.now, MU_SPANS * self.limit)
+        if served <= 0.0:
+            return 0.0  # nothing stands there: it reopens by rest alone, also while the rate is unknown
+        if rate * climbed <= 0.0:
             return 1.0
-        first = rung.service_rate(self.now, MU_SPANS * self.limit) / (rate * climbed)
+        first = served / (rate * climbed)
         return min(1.0, max(0.0, first - EPSILON_SHARE * first))
 
     def call_rate(self, destination: int) -> float:
@@ -392,7 +424,7 @@
         return [switch_id for switch_id in found if switch_id is not None]
 
     def may_spill(self, call: Call, direct: SwitchId, tandem: SwitchId, pressed: bool) -> bool:
-        """Admission beside the ladder: an alternative route helps only where circuits or the direct path lack."""
+        """Admission beside the ladder: an alternative route helps only where circuits lack."""
         if self.settings.layout is Layout.POOLS:
             return True
         if pressed or call.tandem_tries >= TANDEM_TRIES:
@@ -408,7 +440,7 @@
         return not self.rung(call.offer.destination, direct).shut(self.now, self.limit)
 
     def near_pressed(self) -> bool:
-        """Direct rungs to many destinations shut together: the trouble is near or everywhere, so nothing spills."""
+        """Direct rungs to many destinations shut together: the trouble is near, so nothing spills."""
         used = shut = 0
         for place, ids in self.at_exchange.items():
             for switch_id in ids:
@@ -475,15 +507,19 @@
         rung = self.rung(offer.destination, switch_id)
         call.out_to, call.sent = switch_id, self.now
         call.attempts += 1
-        if switch.entry.exchange != offer.destination:
-            call.tandem_tries += 1
         rung.out[offer.call] = self.now
         rung.last_use = self.now
         if switch.free is not None:
             switch.free -= offer.width
-        switch.sends.append(self.now)
-        while len(switch.sends) > 200:
-            switch.sends.popleft()
+        reached = {switch_id: switch}
+        if switch.entry.exchange != offer.destination:
+            call.tandem_tries += 1
+            if self.settings.layout is Layout.NETWORK and (target := self.target_of(offer.destination)):
+                reached[target] = self.switches[target]  # a set-up by tandem reaches it too
+        for each in reached.values():
+            each.sends.append(self.now)
+            if len(each.sends) > SENDS_KEPT:
+                each.sends.popleft()
         gap = min(5000.0, max(1.0, self.now - self.last_send))
         self.last_send = self.now
         self.send_rate += (1000.0 / gap - self.send_rate) * min(1.0, gap / 5000.0)
--- /dev/null
+++ b/tests/test_rules_kept.py
@@ -0,0 +1,221 @@
+"""The five rules and the attempt limit, each as a guard that fails when taken out; odd input."""
+
+import pytest
+
+from dapplehinge import interface as api
+from dapplehinge.rules import Controller
+from tests.conftest import SETTINGS, Proxy, entry, kinds, sent
+
+
+def test_answer_before_the_budget_ends_with_an_attempt_out(proxy):
+    actions = proxy.offer(1, budget=1000.0)
+    timer = next(a for a in actions if isinstance(a, api.SetTimer))
+    assert timer.span <= 1000.0
+    proxy.now += timer.span
+    assert kinds(proxy.feed(api.TimerDue(timer.tag))) == [api.Cancel, api.Fail]
+    assert kinds(proxy.ended(1, 1, api.Outcome.CANCELLED)) == []  # nothing more for a call that is over
+
+
+def test_answer_before_the_budget_ends_while_the_release_is_awaited(proxy):
+    actions = proxy.offer(1, budget=400.0)
+    timer = next(a for a in actions if isinstance(a, api.SetTimer))
+    proxy.now += 200
+    assert kinds(proxy.ended(1, 1, api.Outcome.TIMED_OUT)) == [api.Refuse]
+    assert kinds(proxy.feed(api.TimerDue(timer.tag))) == []
+
+
+def test_answer_before_the_budget_ends_while_waiting(proxy):
+    for place in (1, 2, 3):
+        proxy.free(place, 0)
+    actions = proxy.offer(1, budget=30.0)
+    spans = [a.span for a in actions if isinstance(a, api.SetTimer) and a.tag > 1]
+    proxy.now += spans[0]
+    tag = next(a.tag for a in actions if isinstance(a, api.SetTimer) and a.tag > 1)
+    assert kinds(proxy.feed(api.TimerDue(tag))) == [api.Refuse]
+
+
+def test_attempt_time_out_leaves_room_for_the_answer(proxy):
+    set_up = next(a for a in proxy.offer(1, budget=1000.0) if isinstance(a, api.SetUp))
+    assert set_up.time_out < 1000.0
+
+
+@pytest.mark.parametrize("budget", [0.0, 1.0, 9.0])
+def test_tiny_budget_is_answered_at_once(proxy, budget):
+    assert kinds(proxy.offer(1, budget=budget)) == [api.Refuse]
+
+
+def test_one_attempt_at_a_time(proxy):
+    actions = proxy.offer(1)
+    assert len(sent(actions)) == 1
+    proxy.now += 50
+    assert sent(proxy.feed(api.TimerDue(0))) == []
+    assert sent(proxy.free(1, 5)) == []
+    assert sent(proxy.offer(2, call=1)) == []  # the same call offered again
+
+
+@pytest.mark.parametrize("state", [api.SwitchState.DRAINING, api.SwitchState.GONE])
+def test_nothing_to_a_draining_or_gone_switch(proxy, state):
+    proxy.list(entry(1, state=state), kind=api.ListKind.CHANGES)
+    assert sent(proxy.offer(1)) == []
+    proxy.list(entry(2, state=state), kind=api.ListKind.CHANGES)
+    proxy.free(3, 0)
+    assert sent(proxy.offer(3)) == []
+
+
+def test_switch_missing_from_a_whole_list_is_gone(proxy):
+    proxy.list(entry(0), entry(2), entry(3))
+    assert 1 not in sent(proxy.offer(1))
+
+
+def test_cold_switch_gets_a_bounded_burst(proxy):
+    proxy.list(entry(1, started_at=proxy.now - 10), kind=api.ListKind.CHANGES)
+    burst = []
+    for _ in range(8):
+        burst += sent(proxy.offer(1))
+    assert burst == [1]
+    proxy.stands(1, 1)
+    proxy.now += SETTINGS.tip_after + 1
+    assert sent(proxy.offer(1)) == [1]
+
+
+def test_cold_budget_counts_set_ups_by_tandem(proxy):
+    proxy.list(entry(2, started_at=proxy.now - 10), kind=api.ListKind.CHANGES)
+    proxy.free(1, 0)
+    proxy.free(3, 0)
+    burst = []
+    for _ in range(20):
+        burst += sent(proxy.offer(1))
+    burst += sent(proxy.offer(2))
+    assert burst.count(2) == 1
+
+
+def test_warm_switch_is_not_held_back(proxy):
+    proxy.list(entry(1, started_at=proxy.now - SETTINGS.cold_span - 1), kind=api.ListKind.CHANGES)
+    assert sum((sent(proxy.offer(1)) for _ in range(5)), []) == [1] * 5
+
+
+@pytest.mark.parametrize("outcome", [api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED])
+def test_release_is_awaited(proxy, outcome):
+    proxy.offer(1)
+    proxy.now += 100
+    actions = proxy.ended(1, 1, outcome)
+    assert sent(actions) == []
+    timer = next(a for a in actions if isinstance(a, api.SetTimer))
+    assert timer.span >= SETTINGS.guard
+    proxy.now += SETTINGS.guard - 5
+    assert sent(proxy.free(1, 9)) == [] and sent(proxy.feed(api.TimerDue(0))) == []
+
+
+def test_attempt_limit(proxy):
+    proxy.offer(1, budget=60_000.0)
+    attempts = 1
+    for _ in range(20):
+        proxy.now += 1000
+        actions = proxy.ended(1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL, attempt=attempts - 1)
+        if not sent(actions):
+            actions = proxy.feed(api.TimerDue(0))
+        attempts += len(sent(actions))
+        if api.Refuse in kinds(actions):
+            break
+    assert 1 <= attempts <= SETTINGS.max_attempts
+    assert 1 not in proxy.controller.calls
+
+
+def never_repeated(**changes):
+    kind = api.CallClass(target=2000.0, worth=1.0, late_worth=0.0, repeat=api.Repeat.NEVER, **changes)
+    return Proxy(classes=(kind,))
+
+
+def test_call_that_may_have_run_is_not_repeated_nor_refused():
+    proxy = never_repeated()
+    proxy.offer(1)
+    proxy.ended(1, 1, api.Outcome.TIMED_OUT)
+    proxy.now += 301
+    timer = max(proxy.controller.timers)
+    assert sent(proxy.feed(api.TimerDue(timer))) == []
+    proxy.now += 5000
+    assert kinds(proxy.feed(api.TimerDue(0))) in ([api.Fail], [])
+
+
+def test_call_that_surely_never_ran_may_be_refused():
+    proxy = never_repeated()
+    proxy.offer(1, in_transit=True)
+    actions = proxy.ended(1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL)
+    assert kinds(actions) == [api.Refuse]
+
+
+def test_deduplicated_call_stays_within_its_group_and_window():
+    kind = api.CallClass(2000.0, 1.0, 0.0, api.Repeat.WITHIN_GROUP, api.RepeatGroup.ZONE, 1000.0)
+    controller = Controller(SETTINGS, 1)
+    controller.settings = SETTINGS.__class__(
+        **{**{f: getattr(SETTINGS, f) for f in SETTINGS.__slots__}, "classes": (kind,)}
+    )
+    controller.handle(0.0, api.SwitchList(api.ListKind.WHOLE, (entry(1, zone=1), entry(2, zone=2))))
+    controller.handle(0.0, api.CallOffered(1, 0, 1, 9000.0))
+    call = controller.calls[1]
+    call.may_have_run = (entry(1, zone=1), 0.0)
+    assert controller.repeat_allowed(call, entry(3, zone=1))
+    assert not controller.repeat_allowed(call, entry(2, zone=2))
+    controller.now = 1000.0
+    assert not controller.repeat_allowed(call, entry(3, zone=1))
+
+
+# Odd input
+
+
+def test_events_about_things_that_are_over_are_ignored(proxy):
+    assert proxy.ended(77, 1, api.Outcome.TIMED_OUT) == []
+    assert proxy.stands(77, 1) == []
+    assert proxy.feed(api.CallerGone(77)) == []
+    assert proxy.feed(api.TimerDue(123456)) == []
+    assert proxy.feed(api.SwitchReport(999, False, True, 0.0, ())) == []
+    assert proxy.feed(api.PeerMessage(2, b"?")) == []
+
+
+def test_caller_gone_ends_the_call(proxy):
+    proxy.offer(1)
+    proxy.feed(api.CallerGone(1))
+    assert proxy.ended(1, 1, api.Outcome.TIMED_OUT, concluded=True) == []
+    assert not proxy.controller.calls
+
+
+def test_list_with_repeated_and_unknown_switches(proxy):
+    proxy.list(entry(1), entry(1), entry(9, state=api.SwitchState.GONE), kind=api.ListKind.CHANGES)
+    assert sent(proxy.offer(1)) == [1]
+
+
+def test_destination_not_on_the_list_is_refused(proxy):
+    assert kinds(proxy.offer(8)) == [api.Refuse]
+
+
+def test_call_to_the_own_exchange_is_not_sent(proxy):
+    assert sent(proxy.offer(0)) == []
+
+
+def test_empty_list_refuses():
+    assert kinds(Proxy(listed=False).offer(1)) == [api.Refuse]
+
+
+def test_call_wider_than_any_group_is_refused_in_time(proxy):
+    for place in (1, 2, 3):
+        proxy.free(place, 20, 20)
+    assert sent(proxy.offer(1, width=50)) == []
+    proxy.now += 2500
+    assert kinds(proxy.feed(api.TimerDue(0))) == [api.Refuse]
+
+
+def test_failed_subscription_is_asked_for_again():
+    proxy = Proxy(must_ask_for_list=True)
+    assert proxy.controller.start(0.0) == [api.Subscribe()]
+    actions = proxy.list(kind=api.ListKind.FAILED)
+    assert isinstance(actions[0], api.SetTimer)
+    assert sent(proxy.offer(1)) == [1]  # the old list stands
+    assert proxy.feed(api.TimerDue(actions[0].tag)) == [api.Subscribe()]
+
+
+def test_no_tandem_towards_a_switch_that_may_not_be_sent_to(proxy):
+    proxy.list(entry(1, state=api.SwitchState.DRAINING), kind=api.ListKind.CHANGES)
+    assert sent(proxy.offer(1)) == []
+    proxy.list(entry(2, started_at=proxy.now - 10), kind=api.ListKind.CHANGES)
+    proxy.free(2, 0)
+    assert len(sum((sent(proxy.offer(2)) for _ in range(6)), [])) == 1  # set-ups by tandem reach it too
--- /dev/null
+++ b/tests/test_trouble.py
@@ -0,0 +1,51 @@
+"""Failures found on the bench, each by its symptom."""
+
+from dapplehinge import interface as api
+from tests.conftest import Proxy, entry, kinds, sent
+
+
+def test_tandem_that_turned_a_call_back_rests(proxy):
+    proxy.free(1, 0)
+    first = sent(proxy.offer(1))[0]
+    again = sent(proxy.ended(1, first, api.Outcome.REJECTED, api.Cause.TURNED_BACK))
+    assert again and again[0] != first
+    proxy.now += 1500
+    assert first not in sent(proxy.offer(1))
+
+
+def test_engaged_number_rests_and_is_tried_again(proxy):
+    proxy.offer(1, number=555)
+    assert kinds(proxy.ended(1, 1, api.Outcome.LINE_BUSY, api.Cause.LINES_ENGAGED)) == [api.Fail]
+    assert kinds(proxy.offer(1, number=555)) == [api.Refuse]
+    assert sent(proxy.offer(1, number=556)) == [1]
+    proxy.now += 300
+    assert sent(proxy.offer(1, number=555)) == [1]
+
+
+def test_slow_destination_does_not_spill(proxy):
+    for _ in range(3):
+        proxy.offer(1)
+    proxy.now += proxy.controller.limit + 1
+    assert sent(proxy.offer(1)) == []
+
+
+def test_many_shut_rungs_stop_spilling(proxy):
+    for place in (1, 2):
+        proxy.offer(place)
+    proxy.tick(proxy.controller.limit + 1)
+    assert proxy.controller.near_pressed()
+    proxy.free(3, 0)
+    assert sent(proxy.offer(3)) == []
+
+
+def test_full_processor_beyond_a_tandem_shuts_the_direct_rung(proxy):
+    proxy.free(1, 0)
+    tandem = sent(proxy.offer(1))[0]
+    proxy.ended(1, tandem, api.Outcome.REJECTED, api.Cause.TURNED_BACK_FULL)
+    assert proxy.controller.direct_rung(1).shut(proxy.now, proxy.controller.limit)
+
+
+def test_restarted_proxy_uses_its_saved_list():
+    proxy = Proxy(listed=False)
+    proxy.list(*[entry(place) for place in range(3)], kind=api.ListKind.SAVED)
+    assert sent(proxy.offer(1)) == [1]
