--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -45,7 +45,7 @@
 )
 
 # Tuned values. A share has no unit.
-DELAY_SHARE = 0.22  # C as a share of the tightest class target: early enough to leave room for the queue
+DELAY_SHARE = 0.14  # C as a share of the tightest class target: a queue must show long before it costs the target
 RATE_CALLS = 8  # calls (K): span of the rate estimate; small, as the paper prefers, to react quickly
 EPSILON_SHARE = 0.1  # epsilon as a share of the first term, so it always lies below it
 MU_SPANS = 4.0  # window of the service rate mu, in C: holds a few set-ups
