--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -45,7 +45,7 @@
 )
 
 # Tuned values. A share has no unit.
-DELAY_SHARE = 0.14  # C as a share of the tightest class target: a queue must show long before it costs the target
+DELAY_SHARE = 0.14  # C as a share of the tightest class target: a queue must show long before that
 RATE_CALLS = 8  # calls (K): span of the rate estimate; small, as the paper prefers, to react quickly
 EPSILON_SHARE = 0.1  # epsilon as a share of the first term, so it always lies below it
 MU_SPANS = 4.0  # window of the service rate mu, in C: holds a few set-ups
@@ -56,6 +56,7 @@
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
 LITTLE_WORTH = 0.5  # share of the mean worth: below it a call gets no last circuit and no tandem
+MOST_DOUBLINGS = 3  # a shut rung's rest grows to 8 C, about the target: a queue drains no faster
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
 SENDS_KEPT = 200  # set-ups remembered per switch, more than any cold budget lets through
 COLD_USE = 1.0  # part of a cold switch's tolerable load that all proxies together plan to use
@@ -72,6 +73,7 @@
     good_sent: float = -1.0  # newest sending time of a set-up that stood within C
     bad_sent: float = -1.0  # newest sending time of one that did not, or was turned away
     last_use: float = -1.0
+    failed: int = 0  # set-ups in a row that ended badly
     stood: deque[float] = field(default_factory=deque)
 
     turned_back: float = -1.0  # when a tandem last turned a call back for want of a circuit beyond
@@ -86,7 +88,10 @@
                 self.bad_sent = sent
         if self.bad_sent <= self.good_sent:
             return False
-        return bool(self.out) or now - self.last_use <= limit
+        # guards against a far end that takes or turns away all it gets: each further try in a row is made
+        # after twice the rest. It may hurt when such an end recovers at once: the rest is bounded.
+        doublings = min(MOST_DOUBLINGS, max(0, self.failed - 1))
+        return bool(self.out) or now - self.last_use <= limit * 2**doublings
 
     def service_rate(self, now: float, span: float) -> float:
         while self.stood and self.stood[0] < now - span:
@@ -203,6 +208,7 @@
         if self.now - call.sent <= self.limit:
             rung.good_sent = max(rung.good_sent, call.sent)
             rung.stood.append(self.now)
+            rung.failed = 0
         else:
             rung.bad_sent = max(rung.bad_sent, call.sent)
         self.engaged.pop(call.offer.number, None)
@@ -233,6 +239,7 @@
             outcome is Outcome.REJECTED and refused
         ):
             rung.bad_sent = max(rung.bad_sent, sent)
+            rung.failed += 1
         if event.cause is Cause.TURNED_BACK_FULL:  # the destination is at fault, not the tandem
             self.direct_rung(destination).bad_sent = max(self.direct_rung(destination).bad_sent, sent)
             self.direct_rung(destination).last_use = self.now
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -18,6 +18,7 @@
     assert kinds(proxy.ended(1, 1, api.Outcome.LINE_BUSY, api.Cause.LINES_ENGAGED)) == [api.Fail]
     assert kinds(proxy.offer(1, number=555)) == [api.Refuse]
     assert sent(proxy.offer(1, number=556)) == [1]
+    proxy.stands(3, 1)
     proxy.now += 300
     assert sent(proxy.offer(1, number=555)) == [1]
 
