A rung that keeps failing rests longer, up to 4 C

Cause: counters showed most failed attempts were processors that turn all away, tried again every C.

--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -50,3 +50,18 @@
     proxy = Proxy(listed=False)
     proxy.list(*[entry(place) for place in range(3)], kind=api.ListKind.SAVED)
     assert sent(proxy.offer(1)) == [1]
+
+
+def test_rung_that_keeps_failing_rests_longer(proxy):
+    rung, limit = proxy.controller.direct_rung(1), proxy.controller.limit
+    for turn in range(3):
+        proxy.tick(1000)
+        proxy.offer(1)
+        proxy.ended(turn + 1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL)
+    assert rung.failed == 3
+    assert rung.shut(proxy.now + 3 * limit, limit)
+    assert not rung.shut(proxy.now + 4 * limit + 1, limit)  # it must see the end of the trouble
+    proxy.tick(4 * limit + 1)
+    proxy.offer(1, call=50)
+    proxy.stands(50, 1)
+    assert rung.failed == 0
