Wait longer where only a circuit lacks

Cause: the patience of 0.6 gave up circuits that free within the target, while 0.85 everywhere held calls at slow processors.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -51,6 +51,7 @@
 MU_SPANS = 4.0  # window of the service rate mu, in C: holds a few set-ups
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
+CIRCUIT_WAIT_SHARE = 0.85  # the same where only a circuit lacks: once one frees the call stands fast
 WAIT_STEP = 50.0  # ms between looks at waiting calls: well below any target, and cheap
 TURN_BACK_REST = 3000.0  # ms a tandem rests for one destination after turning a call back
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
@@ -118,7 +119,6 @@
     offer: CallOffered
     arrived: float
     ends: float  # by when its final answer must be given
-    wait_until: float  # until then it may wait at home for a route
     attempts: int = 0
     tandem_tries: int = 0
     out_to: SwitchId | None = None  # where its one attempt is
@@ -186,8 +186,7 @@
             return
         target = self.settings.classes[offer.call_class].target
         ends = self.now + offer.budget
-        patience = min(WAIT_SHARE * target, offer.budget / 2)
-        call = Call(offer, self.now, ends, self.now + patience)
+        call = Call(offer, self.now, ends)
         self.calls[offer.call] = call
         if not offer.in_transit:
             past = self.arrivals.setdefault(offer.destination, deque(maxlen=RATE_CALLS + 1))
@@ -349,7 +348,7 @@
         if switch_id is not None:
             self.waiting.pop(call.offer.call, None)
             self.send(call, switch_id)
-        elif call.offer.in_transit or self.now >= call.wait_until or not self.target_of(offer.destination):
+        elif offer.in_transit or self.now >= self.wait_until(call) or not self.target_of(offer.destination):
             self.refuse(call)
         else:
             self.waiting[call.offer.call] = call
@@ -357,6 +356,13 @@
                 self.look_pending = True
                 self.out.append(SetTimer(WAIT_STEP, 0))
 
+    def wait_until(self, call: Call) -> float:
+        """Until when a call waits at home: longer for a circuit than for a processor, which may stay slow."""
+        offer, direct = call.offer, self.target_of(call.offer.destination)
+        room = direct is None or self.switches[direct].has_room(offer.width, 0)
+        share = WAIT_SHARE if room else CIRCUIT_WAIT_SHARE
+        return call.arrived + min(share * self.settings.classes[offer.call_class].target, offer.budget / 2)
+
     def choose(self, call: Call) -> SwitchId | None:
         offer, now = call.offer, self.now
         direct = self.target_of(offer.destination)
