--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -184,7 +184,6 @@
     def offered(self, offer: CallOffered) -> None:
         if offer.call in self.calls:
             return
-        target = self.settings.classes[offer.call_class].target
         ends = self.now + offer.budget
         call = Call(offer, self.now, ends)
         self.calls[offer.call] = call
