--- a/dapplehinge/interface.py
+++ b/dapplehinge/interface.py
@@ -249,7 +249,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Subscribe:
-    """Ask for the list's changes from now on."""
+    """Ask for the list's changes from now on, or end that."""
+
+    active: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask for the whole list once."""
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Shut the idle connections to a switch."""
+
+    switch: SwitchId
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,4 +277,6 @@
     text: str
 
 
-Action = SetUp | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | TellPeer | Note
+Action = (
+    SetUp | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | FetchList | CloseIdle | TellPeer | Note
+)
--- a/dapplehinge/wirehost.py
+++ b/dapplehinge/wirehost.py
@@ -397,8 +397,12 @@
             return struct.pack(">BIIH", 7, number, call, attempt)
         case api.Probe(switch):
             return struct.pack(">BI6s", 1, number, switch_address(switch))
-        case api.Subscribe():
-            return struct.pack(">BIB", 11, number, 1)
+        case api.Subscribe(active):
+            return struct.pack(">BIB", 11, number, active)
+        case api.FetchList():
+            return struct.pack(">BI", 2, number)
+        case api.CloseIdle(switch):
+            return struct.pack(">BI6s", 0, number, switch_address(switch))
         case api.TellPeer(receiver, content):
             to = ALL_PEERS if receiver == api.EVERY_PEER else receiver
             return struct.pack(">BIIH", 8, number, to, len(content)) + content
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -127,6 +127,8 @@
         api.SetTimer(1.0, 2): (9, 21),
         api.Probe(5): (1, 11),
         api.Subscribe(): (11, 6),
+        api.FetchList(): (2, 5),
+        api.CloseIdle(5): (0, 11),
         api.TellPeer(api.EVERY_PEER, b"ab"): (8, 13),
         api.Note("hi"): (4, 9),
     }
