--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -58,6 +58,11 @@
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
 LITTLE_WORTH = 0.5  # share of the mean worth: below it a call gets no last circuit and no tandem
 MOST_DOUBLINGS = 2  # a shut rung's rest grows to 4 C, well within the target: it must see the end of trouble
+WORTH_CALLS = 50  # calls over which the mean worth is learnt: some seconds of one proxy's traffic
+MOST_FAVOUR = 2.0  # most that a call's worth may raise its spill share: p must still bound the feed
+TENANT_FORGET = 0.01  # weight of the newest call in the tenants' shares: about a hundred calls count
+TENANT_KNOWN = 0.2  # seen weight from which those shares are believed: some twenty calls
+RATE_SPAN = 5000.0  # ms over which the own sending rate is learnt
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
 SENDS_KEPT = 200  # set-ups remembered per switch, more than any cold budget lets through
 COLD_USE = 1.0  # part of a cold switch's tolerable load that all proxies together plan to use
@@ -94,6 +99,9 @@
         doublings = min(MOST_DOUBLINGS, max(0, self.failed - 1))
         return bool(self.out) or now - self.last_use <= limit * 2**doublings
 
+    def went_bad(self, sent: float) -> None:
+        self.bad_sent = max(self.bad_sent, sent)
+
     def service_rate(self, now: float, span: float) -> float:
         while self.stood and self.stood[0] < now - span:
             self.stood.popleft()
@@ -118,7 +126,7 @@
 class Call:
     offer: CallOffered
     arrived: float
-    ends: float  # by when its final answer must be given
+    due: float  # its final answer is given by then, some rounds before its budget ends
     attempts: int = 0
     tandem_tries: int = 0
     out_to: SwitchId | None = None  # where its one attempt is
@@ -184,14 +192,13 @@
     def offered(self, offer: CallOffered) -> None:
         if offer.call in self.calls:
             return
-        ends = self.now + offer.budget
-        call = Call(offer, self.now, ends)
+        call = Call(offer, self.now, self.now + offer.budget - self.slack)
         self.calls[offer.call] = call
         if not offer.in_transit:
             past = self.arrivals.setdefault(offer.destination, deque(maxlen=RATE_CALLS + 1))
             past.append(self.now)
             worth = self.worth(offer, count=True)
-            self.mean_worth += (worth - self.mean_worth) / 50 if self.mean_worth else worth
+            self.mean_worth += (worth - self.mean_worth) / WORTH_CALLS if self.mean_worth else worth
         self.set_timer(max(0.0, offer.budget - self.slack), offer.call)
         if self.number_rests(offer):
             self.refuse(call)
@@ -208,7 +215,7 @@
             rung.stood.append(self.now)
             rung.failed = 0
         else:
-            rung.bad_sent = max(rung.bad_sent, call.sent)
+            rung.went_bad(call.sent)
         self.engaged.pop(call.offer.number, None)
         self.forget(event.call)
 
@@ -236,11 +243,12 @@
         if outcome in (Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.CUT) or (
             outcome is Outcome.REJECTED and refused
         ):
-            rung.bad_sent = max(rung.bad_sent, sent)
+            rung.went_bad(sent)
             rung.failed += 1
         if event.cause is Cause.TURNED_BACK_FULL:  # the destination is at fault, not the tandem
-            self.direct_rung(destination).bad_sent = max(self.direct_rung(destination).bad_sent, sent)
-            self.direct_rung(destination).last_use = self.now
+            direct = self.direct_rung(destination)
+            direct.went_bad(sent)
+            direct.last_use = self.now
         if event.cause is Cause.TURNED_BACK:
             rung.turned_back = self.now
         self.detach(call)
@@ -291,12 +299,12 @@
             call = self.calls.get(self.timers.pop(tag, -1))
             if call is None:
                 return
-            if self.now >= call.ends - self.slack:
+            if self.now >= call.due:
                 if call.out_to is not None:
                     if self.settings.may_cancel:
                         self.out.append(Cancel(call.offer.call, call.attempts - 1))
                     rung = self.rung(call.offer.destination, call.out_to)
-                    rung.bad_sent = max(rung.bad_sent, call.sent)
+                    rung.went_bad(call.sent)
                     self.detach(call)
                     self.end_failed(call)
                 else:
@@ -334,11 +342,11 @@
     def advance(self, call: Call) -> None:
         """Bring a call that has no attempt out one step further: send it, let it wait, or end it."""
         offer = call.offer
-        if call.attempts >= self.settings.max_attempts or self.now >= call.ends - self.slack:
+        if call.attempts >= self.settings.max_attempts or self.now >= call.due:
             self.refuse(call)
             return
         if self.now < call.not_before:  # the release is awaited
-            if call.not_before >= call.ends - self.slack:
+            if call.not_before >= call.due:
                 self.refuse(call)
             else:
                 self.set_timer(call.not_before - self.now, call.offer.call)
@@ -369,8 +377,6 @@
             return None
         worth = self.worth(offer)
         little = worth < LITTLE_WORTH * self.mean_worth
-        if self.settings.layout is Layout.NETWORK and not self.may_send(self.switches[direct], call):
-            return None  # a tandem would only carry the call to the same draining or cold switch
         ladder = [direct]
         if not offer.in_transit:
             ladder += self.tandems(offer, direct)
@@ -380,13 +386,17 @@
         for switch_id in ladder:
             switch = self.switches[switch_id]
             spilled = switch_id != direct
+            if not self.may_send(switch, call):
+                if not spilled and self.settings.layout is Layout.NETWORK:
+                    return None  # a tandem would only carry the call to the same draining or cold switch
+                continue
             kept_back = 0
             if spilled or offer.in_transit or little:
                 # trunk reservation: spilled, transit and low-worth calls leave the last circuits
                 kept_back = switch.reserve()
             if switch_id in call.avoid and spilled:
                 continue
-            if not switch.has_room(offer.width, kept_back) or not self.may_send(switch, call):
+            if not switch.has_room(offer.width, kept_back):
                 continue
             if spilled and (little or not self.may_spill(call, direct, switch_id, pressed)):
                 continue
@@ -397,7 +407,7 @@
                 return None
             share = self.spill_share(rung, rate, climbed)
             favour = worth / self.mean_worth if self.mean_worth else 1.0
-            if self.random.random() < share * min(2.0, favour):
+            if self.random.random() < share * min(MOST_FAVOUR, favour):
                 return switch_id
             climbed *= 1.0 - share
             if climbed <= 0.0:
@@ -473,10 +483,10 @@
         quotas = self.settings.tenant_quotas
         if offer.tenant < len(quotas) and sum(quotas) > 0:
             if count:
-                self.tenant_calls = [0.99 * seen for seen in self.tenant_calls]
-                self.tenant_calls[offer.tenant] += 0.01
+                self.tenant_calls = [(1.0 - TENANT_FORGET) * seen for seen in self.tenant_calls]
+                self.tenant_calls[offer.tenant] += TENANT_FORGET
             total = sum(self.tenant_calls)
-            if total > 0.2:
+            if total > TENANT_KNOWN:
                 fair = quotas[offer.tenant] / sum(quotas)
                 seen = max(1e-9, self.tenant_calls[offer.tenant] / total)
                 over = max(0.0, 1.0 - fair / seen)
@@ -532,10 +542,10 @@
             each.sends.append(self.now)
             if len(each.sends) > SENDS_KEPT:
                 each.sends.popleft()
-        gap = min(5000.0, max(1.0, self.now - self.last_send))
+        gap = min(RATE_SPAN, max(1.0, self.now - self.last_send))
         self.last_send = self.now
-        self.send_rate += (1000.0 / gap - self.send_rate) * min(1.0, gap / 5000.0)
-        self.out.append(SetUp(offer.call, switch_id, max(1.0, call.ends - self.slack - self.now)))
+        self.send_rate += (1000.0 / gap - self.send_rate) * min(1.0, gap / RATE_SPAN)
+        self.out.append(SetUp(offer.call, switch_id, max(1.0, call.due - self.now)))
 
     def detach(self, call: Call) -> None:
         if call.out_to is not None:
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -49,7 +49,7 @@
     """A fresh call that the ladder has not placed, and the switch of its destination."""
     offer = api.CallOffered(900 + proxy.calls, 0, destination, 3000.0)
     proxy.calls = offer.call
-    call = type(next(iter(proxy.controller.calls.values())))(offer, proxy.now, proxy.now + 3000)
+    call = type(next(iter(proxy.controller.calls.values())))(offer, proxy.now, proxy.now + 2990)
     proxy.controller.calls[offer.call] = call
     return call, 100 + destination
 
