--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -11,9 +11,12 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from math import ceil, sqrt
+from heapq import heappop, heappush
+from math import ceil, inf, sqrt
 from random import Random
+from typing import Any
 
 from dapplehinge.interface import (
     Action,
@@ -52,7 +55,8 @@
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 CIRCUIT_WAIT_SHARE = 0.85  # the same where only a circuit lacks: once one frees the call stands fast
-WAIT_STEP = 50.0  # ms between looks at waiting calls: well below any target, and cheap
+WAIT_STEP = 50.0  # ms between looks at a call that waits for a cold switch's budget
+TURN_BACK_DOUBLINGS = 0  # how often that rest may double
 TURN_BACK_REST = 3000.0  # ms a tandem rests for one destination after turning a call back
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
@@ -75,14 +79,14 @@
 class Rung:
     """One route to one destination, with its delay semaphore and the evidence for it."""
 
-    out: dict[int, float] = field(default_factory=dict)  # call -> when its set-up was sent
+    out: dict[int, float] = field(default_factory=dict)  # call -> when its set-up was sent, oldest first
     good_sent: float = -1.0  # newest sending time of a set-up that stood within C
     bad_sent: float = -1.0  # newest sending time of one that did not, or was turned away
     last_use: float = -1.0
     failed: int = 0  # set-ups in a row that ended badly
     stood: deque[float] = field(default_factory=deque)
-
-    turned_back: float = -1.0  # when a tandem last turned a call back for want of a circuit beyond
+    turned_back: int = 0  # calls in a row that the tandem turned back for want of a circuit beyond
+    rests_until: float = -1.0  # and how long it is left alone for that
 
     def shut(self, now: float, limit: float) -> bool:
         """Evidence counts by when a set-up was sent: the late end of an old one undoes nothing newer.
@@ -90,14 +94,19 @@
         A set-up still out shuts the rung as soon as C has passed; looking at use equals a timer.
         """
         for sent in self.out.values():
-            if now - sent > limit and sent > self.bad_sent:
+            if now - sent <= limit:
+                break
+            if sent > self.bad_sent:
                 self.bad_sent = sent
-        if self.bad_sent <= self.good_sent:
-            return False
-        # guards against a far end that takes or turns away all it gets: each further try in a row is made
-        # after twice the rest. It may hurt when such an end recovers at once: the rest is bounded.
-        doublings = min(MOST_DOUBLINGS, max(0, self.failed - 1))
-        return bool(self.out) or now - self.last_use <= limit * 2**doublings
+        return self.bad_sent > self.good_sent and (bool(self.out) or now <= self.opens(limit))
+
+    def opens(self, limit: float) -> float:
+        """When a shut rung with nothing out opens by rest alone.
+
+        Guards against a far end that takes or turns away all it gets: each further try in a row is made
+        after twice the rest. It may hurt when such an end recovers at once: the rest is bounded.
+        """
+        return self.last_use + limit * float(1 << min(MOST_DOUBLINGS, max(0, self.failed - 1)))
 
     def went_bad(self, sent: float) -> None:
         self.bad_sent = max(self.bad_sent, sent)
@@ -113,13 +122,11 @@
     entry: SwitchEntry
     free: int | None = None  # free circuits of the group to it; None: not told yet
     size: int = 0
+    kept_back: int = 0  # circuits that trunk reservation keeps for direct calls
     sends: deque[float] = field(default_factory=deque)  # set-ups sent while it is cold
 
-    def reserve(self) -> int:
-        return ceil(RESERVE_ROOTS * sqrt(self.size))
-
-    def has_room(self, width: int, kept_back: int) -> bool:
-        return self.free is None or self.free >= width + kept_back
+    def has_room(self, width: int, reserved: bool) -> bool:
+        return self.free is None or self.free >= width + (self.kept_back if reserved else 0)
 
 
 @dataclass(slots=True)
@@ -127,9 +134,11 @@
     offer: CallOffered
     arrived: float
     due: float  # its final answer is given by then, some rounds before its budget ends
+    worth: float = 0.0
     attempts: int = 0
     tandem_tries: int = 0
     out_to: SwitchId | None = None  # where its one attempt is
+    rung: Rung | None = None  # and the rung it took
     sent: float = 0.0
     not_before: float = 0.0  # release awaited until then
     avoid: set[SwitchId] = field(default_factory=set)  # tandems that turned this call back
@@ -143,23 +152,34 @@
         self.settings = settings
         self.random = Random(seed)
         self.switches: dict[SwitchId, Switch] = {}
-        self.at_exchange: dict[int, list[SwitchId]] = {}
+        self.target: dict[int, SwitchId] = {}  # exchange -> the switch that serves it
+        self.ladders: dict[tuple[int, int], list[SwitchId]] = {}  # tandems of a destination, in their order
         self.rungs: dict[tuple[int, SwitchId], Rung] = {}
         self.calls: dict[int, Call] = {}
-        self.waiting: dict[int, Call] = {}
+        self.waiting: dict[int, dict[int, Call]] = {}  # destination -> calls that wait for a route to it
         self.arrivals: dict[int, deque[float]] = {}
         self.tenant_calls = [0.0] * len(settings.tenant_quotas)
+        self.all_quotas = sum(settings.tenant_quotas)
         self.engaged: dict[int, tuple[float, float]] = {}  # number -> rest, and when it ends
         self.mean_worth = 0.0
         self.send_rate = 0.0  # set-ups a second this proxy sends, by exponential forgetting
         self.last_send = 0.0
-        self.tags = 0
-        self.timers: dict[int, int] = {}  # tag -> call; tags 0 and 1 stand apart
-        self.look_pending = False
+        self.agenda: list[tuple[float, int]] = []  # heap of when to look at which call again
+        self.timer_at = inf  # when the next timer that is set falls due
+        self.pressed: tuple[float, bool] = (-1.0, False)  # the near end, as it was judged then
         self.limit = DELAY_SHARE * min((c.target for c in settings.classes), default=2000.0)
         self.slack = DEADLINE_ROUNDS * settings.round_span
         self.out: list[Action] = []
         self.now = 0.0
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            SwitchReport: self.reported,
+            CallOffered: self.offered,
+            CallStands: self.stands,
+            AttemptEnded: self.ended,
+            TimerDue: self.timer,
+            CallerGone: lambda event: self.forget(event.call),
+            SwitchList: self.listed,
+        }
 
     # Events
 
@@ -172,21 +192,10 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now, self.out = now, []
-        match event:
-            case CallOffered():
-                self.offered(event)
-            case AttemptEnded():
-                self.ended(event)
-            case CallStands():
-                self.stands(event)
-            case SwitchReport():
-                self.reported(event)
-            case TimerDue():
-                self.timer(event.tag)
-            case CallerGone():
-                self.forget(event.call)
-            case SwitchList():
-                self.listed(event)
+        handler = self.handlers.get(type(event))
+        if handler is not None:
+            handler(event)
+            self.set_timer()
         return self.out
 
     def offered(self, offer: CallOffered) -> None:
@@ -195,29 +204,34 @@
         call = Call(offer, self.now, self.now + offer.budget - self.slack)
         self.calls[offer.call] = call
         if not offer.in_transit:
-            past = self.arrivals.setdefault(offer.destination, deque(maxlen=RATE_CALLS + 1))
+            past = self.arrivals.get(offer.destination)
+            if past is None:
+                past = self.arrivals[offer.destination] = deque(maxlen=RATE_CALLS + 1)
             past.append(self.now)
-            worth = self.worth(offer, count=True)
-            self.mean_worth += (worth - self.mean_worth) / WORTH_CALLS if self.mean_worth else worth
-        self.set_timer(max(0.0, offer.budget - self.slack), offer.call)
-        if self.number_rests(offer):
+        call.worth = self.worth(offer)
+        if not offer.in_transit:
+            gain = call.worth - self.mean_worth
+            self.mean_worth += gain / WORTH_CALLS if self.mean_worth else gain
+        if offer.number and self.number_rests(offer):
             self.refuse(call)
         else:
+            self.look_again(call, call.due)
             self.advance(call)
 
     def stands(self, event: CallStands) -> None:
         call = self.calls.get(event.call)
-        if call is None or call.out_to != event.switch:
+        if call is None or call.rung is None or call.out_to != event.switch:
             return
-        rung = self.rung(call.offer.destination, event.switch)
+        rung = call.rung
         if self.now - call.sent <= self.limit:
             rung.good_sent = max(rung.good_sent, call.sent)
             rung.stood.append(self.now)
-            rung.failed = 0
+            rung.failed = rung.turned_back = 0
         else:
             rung.went_bad(call.sent)
         self.engaged.pop(call.offer.number, None)
         self.forget(event.call)
+        self.wake(call.offer.destination)
 
     def number_rests(self, offer: CallOffered) -> bool:
         """Guards against many callers dialling one number whose lines are all engaged.
@@ -234,10 +248,9 @@
 
     def ended(self, event: AttemptEnded) -> None:
         call = self.calls.get(event.call)
-        if call is None or call.out_to is None:
+        if call is None or call.rung is None:
             return
-        destination, switch, sent = call.offer.destination, event.switch, call.sent
-        rung = self.rung(destination, switch)
+        destination, switch, sent, rung = call.offer.destination, event.switch, call.sent, call.rung
         outcome = event.outcome
         refused = event.cause in (Cause.TURNED_BACK, Cause.TURNED_BACK_FULL, Cause.PROCESSOR_FULL)
         if outcome in (Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.CUT) or (
@@ -246,14 +259,18 @@
             rung.went_bad(sent)
             rung.failed += 1
         if event.cause is Cause.TURNED_BACK_FULL:  # the destination is at fault, not the tandem
-            direct = self.direct_rung(destination)
+            direct = self.rung(destination, self.target.get(destination, 0))
             direct.went_bad(sent)
             direct.last_use = self.now
         if event.cause is Cause.TURNED_BACK:
-            rung.turned_back = self.now
+            # guards against calls sent again and again over a tandem whose group beyond is full or missing:
+            # it is believed for longer than a late answer, as a circuit frees more slowly than a queue drains
+            rung.rests_until = self.now + TURN_BACK_REST * 2 ** min(TURN_BACK_DOUBLINGS, rung.turned_back)
+            rung.turned_back += 1
         self.detach(call)
         if event.concluded:
             self.forget(event.call)
+            self.wake(destination)
             return
         if outcome in (Outcome.TIMED_OUT, Outcome.CUT, Outcome.CANCELLED):
             call.not_before = self.now + self.settings.guard
@@ -275,6 +292,7 @@
             if outcome is not Outcome.NOT_SENT:
                 call.avoid.add(switch)
             self.advance(call)
+        self.wake(destination)
 
     def reported(self, event: SwitchReport) -> None:
         switch = self.switches.get(event.switch)
@@ -284,33 +302,32 @@
         for load, value in event.report:
             if load is Load.FREE_CIRCUITS:
                 switch.free = int(value)
-            elif load is Load.GROUP_SIZE:
+            elif load is Load.GROUP_SIZE and value != switch.size:
                 switch.size = int(value)
-        if switch.free is not None and (before is None or switch.free > before):
-            self.look_at_waiting()
-
-    def timer(self, tag: int) -> None:
-        if tag == 0:
-            self.look_pending = False
-            self.look_at_waiting()
-        elif tag == 1:
+                switch.kept_back = ceil(RESERVE_ROOTS * sqrt(switch.size))
+        if switch.free is not None and self.waiting and (before is None or switch.free > before):
+            self.wake(switch.entry.exchange)
+            if (before is None or before <= switch.kept_back) and switch.free > switch.kept_back:
+                for destination in list(self.waiting):  # it has become a tandem with room
+                    self.wake(destination)
+
+    def timer(self, event: TimerDue) -> None:
+        if event.tag == 1:
             self.out.append(Subscribe())
-        else:
-            call = self.calls.get(self.timers.pop(tag, -1))
+            return
+        if self.now >= self.timer_at:
+            self.timer_at = inf
+        while self.agenda and self.agenda[0][0] <= self.now:
+            call = self.calls.get(heappop(self.agenda)[1])
             if call is None:
-                return
-            if self.now >= call.due:
-                if call.out_to is not None:
-                    if self.settings.may_cancel:
-                        self.out.append(Cancel(call.offer.call, call.attempts - 1))
-                    rung = self.rung(call.offer.destination, call.out_to)
-                    rung.went_bad(call.sent)
-                    self.detach(call)
-                    self.end_failed(call)
-                else:
-                    self.refuse(call)
-            elif call.out_to is None:
+                continue
+            if call.rung is None:
                 self.advance(call)
+            elif self.now >= call.due:
+                if self.settings.may_cancel:
+                    self.out.append(Cancel(call.offer.call, call.attempts - 1))
+                call.rung.went_bad(call.sent)
+                self.end_failed(call)
 
     def listed(self, event: SwitchList) -> None:
         if event.kind is ListKind.FAILED:
@@ -332,10 +349,20 @@
                 known.entry = entry
             else:
                 self.switches[entry.switch] = Switch(entry)
-        self.at_exchange = {}
-        for switch_id, switch in self.switches.items():
-            self.at_exchange.setdefault(switch.entry.exchange, []).append(switch_id)
-        self.look_at_waiting()
+        # of several switches at one exchange, one that is ready and started last serves it
+        best: dict[int, SwitchEntry] = {}
+        for switch in self.switches.values():
+            entry = switch.entry
+            other = best.get(entry.exchange)
+            key = (entry.state is SwitchState.READY, entry.started_at)
+            if other is None or key > (other.state is SwitchState.READY, other.started_at):
+                best[entry.exchange] = entry
+        self.target = {place: entry.switch for place, entry in sorted(best.items())}
+        self.ladders.clear()
+        # what is known of switches that left goes with them
+        self.rungs = {key: rung for key, rung in self.rungs.items() if key[1] in self.switches}
+        for destination in list(self.waiting):
+            self.wake(destination)
 
     # The ladder
 
@@ -349,65 +376,90 @@
             if call.not_before >= call.due:
                 self.refuse(call)
             else:
-                self.set_timer(call.not_before - self.now, call.offer.call)
+                self.look_again(call, call.not_before)
             return
         switch_id = self.choose(call)
         if switch_id is not None:
-            self.waiting.pop(call.offer.call, None)
+            self.stop_waiting(call)
             self.send(call, switch_id)
-        elif offer.in_transit or self.now >= self.wait_until(call) or not self.target_of(offer.destination):
+        elif offer.in_transit or self.now >= (patience := self.wait_until(call)):
             self.refuse(call)
         else:
-            self.waiting[call.offer.call] = call
-            if not self.look_pending:
-                self.look_pending = True
-                self.out.append(SetTimer(WAIT_STEP, 0))
+            queue = self.waiting.setdefault(offer.destination, {})
+            if offer.call not in queue:
+                queue[offer.call] = call
+            self.look_again(call, min(patience, self.opens_at(call)))
 
     def wait_until(self, call: Call) -> float:
         """Until when a call waits at home: longer for a circuit than for a processor, which may stay slow."""
-        offer, direct = call.offer, self.target_of(call.offer.destination)
-        room = direct is None or self.switches[direct].has_room(offer.width, 0)
+        offer, direct = call.offer, self.target.get(call.offer.destination)
+        if direct is None:
+            return self.now
+        room = self.switches[direct].has_room(offer.width, False)
         share = WAIT_SHARE if room else CIRCUIT_WAIT_SHARE
         return call.arrived + min(share * self.settings.classes[offer.call_class].target, offer.budget / 2)
 
+    def opens_at(self, call: Call) -> float:
+        """When rest alone may open the direct rung to a waiting call; all else that helps it is an event."""
+        direct = self.target[call.offer.destination]
+        if self.is_cold(self.switches[direct].entry):
+            return self.now + WAIT_STEP
+        rung = self.rung(call.offer.destination, direct)
+        opens = rung.opens(self.limit) + self.settings.round_span
+        return opens if not rung.out and opens > self.now and rung.shut(self.now, self.limit) else inf
+
+    def wake(self, destination: int) -> None:
+        """Give the calls that wait for a destination another try, the worthiest first, then the oldest."""
+        queue = self.waiting.get(destination)
+        if not queue:
+            return
+        for call in sorted(queue.values(), key=lambda c: (-c.worth, c.arrived, c.offer.call)):
+            if call.rung is None and call.offer.call in self.calls:
+                self.advance(call)
+
     def choose(self, call: Call) -> SwitchId | None:
         offer, now = call.offer, self.now
-        direct = self.target_of(offer.destination)
+        direct = self.target.get(offer.destination)
         if direct is None or offer.destination == self.settings.own_exchange:
             return None
-        worth = self.worth(offer)
-        little = worth < LITTLE_WORTH * self.mean_worth
-        ladder = [direct]
-        if not offer.in_transit:
-            ladder += self.tandems(offer, direct)
+        switch = self.switches[direct]
+        if not self.may_send(switch, call):
+            if self.settings.layout is Layout.NETWORK:
+                return None  # a tandem would only carry the call to the same draining or cold switch
+            blocked = True
+        else:
+            blocked = False
+        little = call.worth < LITTLE_WORTH * self.mean_worth
         climbed = 1.0  # product of (1 - p) of the shut rungs passed
-        rate = self.call_rate(offer.destination)
-        pressed = self.near_pressed()
-        for switch_id in ladder:
+        rate = -1.0
+        favour = min(MOST_FAVOUR, call.worth / self.mean_worth) if self.mean_worth else 1.0
+        rung = self.rung(offer.destination, direct)
+        # trunk reservation: spilled, transit and low-worth calls leave the last circuits
+        if not blocked and switch.has_room(offer.width, offer.in_transit or little):
+            if not rung.shut(now, self.limit):
+                return direct
+            if offer.in_transit:
+                return None
+            rate = self.call_rate(offer.destination)
+            share = self.spill_share(rung, rate, climbed)
+            if self.random.random() < share * favour:
+                return direct
+            climbed *= 1.0 - share
+        if offer.in_transit or little or not self.may_spill(call, rung):
+            return None
+        for switch_id in self.tandems(offer):
             switch = self.switches[switch_id]
-            spilled = switch_id != direct
-            if not self.may_send(switch, call):
-                if not spilled and self.settings.layout is Layout.NETWORK:
-                    return None  # a tandem would only carry the call to the same draining or cold switch
-                continue
-            kept_back = 0
-            if spilled or offer.in_transit or little:
-                # trunk reservation: spilled, transit and low-worth calls leave the last circuits
-                kept_back = switch.reserve()
-            if switch_id in call.avoid and spilled:
-                continue
-            if not switch.has_room(offer.width, kept_back):
-                continue
-            if spilled and (little or not self.may_spill(call, direct, switch_id, pressed)):
+            if switch_id in call.avoid or not switch.has_room(offer.width, True):
                 continue
             rung = self.rung(offer.destination, switch_id)
+            if now < rung.rests_until or not self.may_send(switch, call) or not self.open_tandem(switch_id):
+                continue
             if not rung.shut(now, self.limit):
                 return switch_id
-            if offer.in_transit:
-                return None
+            if rate < 0:
+                rate = self.call_rate(offer.destination)
             share = self.spill_share(rung, rate, climbed)
-            favour = worth / self.mean_worth if self.mean_worth else 1.0
-            if self.random.random() < share * min(MOST_FAVOUR, favour):
+            if self.random.random() < share * favour:
                 return switch_id
             climbed *= 1.0 - share
             if climbed <= 0.0:
@@ -430,64 +482,67 @@
             return 0.0
         return (len(past) - 1) / (self.now - past[0])
 
-    def tandems(self, offer: CallOffered, direct: SwitchId) -> list[SwitchId]:
-        if self.settings.layout is Layout.POOLS:
-            places = [p for p in self.settings.classes[offer.call_class].pools if p != offer.destination]
-        else:
-            own = self.settings.own_exchange
-            places = sorted(p for p in self.at_exchange if p not in (own, offer.destination))
-            if places:  # each pair starts its fixed order elsewhere, so that spilled calls spread
-                turn = (own + offer.destination) % len(places)
-                places = places[turn:] + places[:turn]
-            if offer.advised in places:
-                places.remove(offer.advised)
-                places.insert(0, offer.advised)
-        found = [self.target_of(place) for place in places]
-        return [switch_id for switch_id in found if switch_id is not None]
-
-    def may_spill(self, call: Call, direct: SwitchId, tandem: SwitchId, pressed: bool) -> bool:
+    def tandems(self, offer: CallOffered) -> list[SwitchId]:
+        pools = self.settings.layout is Layout.POOLS
+        key = (offer.destination, offer.call_class if pools else 0)
+        ladder = self.ladders.get(key)
+        if ladder is None:
+            if pools:
+                places = [p for p in self.settings.classes[offer.call_class].pools if p != offer.destination]
+            else:
+                own = self.settings.own_exchange
+                places = [place for place in self.target if place not in (own, offer.destination)]
+                if places:  # each pair starts its fixed order elsewhere, so that spilled calls spread
+                    turn = (own + offer.destination) % len(places)
+                    places = places[turn:] + places[:turn]
+            ladder = self.ladders[key] = [self.target[place] for place in places if place in self.target]
+        advised = self.target.get(offer.advised)
+        if advised in ladder and advised != ladder[0]:
+            return [advised] + ladder  # met a second time in its old place, where nothing has changed
+        return ladder
+
+    def may_spill(self, call: Call, direct: Rung) -> bool:
         """Admission beside the ladder: an alternative route helps only where circuits lack."""
         if self.settings.layout is Layout.POOLS:
             return True
-        if pressed or call.tandem_tries >= TANDEM_TRIES:
+        if call.tandem_tries >= TANDEM_TRIES or direct.shut(self.now, self.limit):
             return False
-        place = self.switches[tandem].entry.exchange
-        if self.rung(place, tandem).shut(self.now, self.limit):
-            return False
-        # guards against calls sent again and again over a tandem whose group beyond is full: its turn-back is
-        # believed for longer than a late answer, as a circuit frees more slowly than a queue drains
-        turned_back = self.rung(call.offer.destination, tandem).turned_back
-        if turned_back >= 0 and self.now - turned_back < TURN_BACK_REST:
-            return False
-        return not self.rung(call.offer.destination, direct).shut(self.now, self.limit)
+        return not self.near_pressed()
+
+    def open_tandem(self, tandem: SwitchId) -> bool:
+        if self.settings.layout is Layout.POOLS:
+            return True
+        own = self.rungs.get((self.switches[tandem].entry.exchange, tandem))
+        return own is None or not own.shut(self.now, self.limit)
 
     def near_pressed(self) -> bool:
         """Direct rungs to many destinations shut together: the trouble is near, so nothing spills."""
-        used = shut = 0
-        for place, ids in self.at_exchange.items():
-            for switch_id in ids:
+        if self.pressed[0] != self.now:
+            used = shut = 0
+            for place, switch_id in self.target.items():
                 rung = self.rungs.get((place, switch_id))
                 if rung and (rung.out or self.now - rung.last_use < NEAR_SPANS * self.limit):
                     used += 1
                     shut += rung.shut(self.now, self.limit)
-        return shut >= 2 and 2 * shut >= used
+            self.pressed = (self.now, shut >= 2 and 2 * shut >= used)
+        return self.pressed[1]
 
     # Worth
 
-    def worth(self, offer: CallOffered, count: bool = False) -> float:
+    def worth(self, offer: CallOffered) -> float:
         """Expected worth of a call; a tenant beyond its share of the quotas counts as partly over."""
         kind = self.settings.classes[offer.call_class]
         worth = kind.worth
         if offer.redialled and not offer.cut_before:  # its first try began long ago: likely past its target
             worth *= kind.late_worth
         quotas = self.settings.tenant_quotas
-        if offer.tenant < len(quotas) and sum(quotas) > 0:
-            if count:
+        if offer.tenant < len(quotas) and self.all_quotas > 0:
+            if not offer.in_transit:
                 self.tenant_calls = [(1.0 - TENANT_FORGET) * seen for seen in self.tenant_calls]
                 self.tenant_calls[offer.tenant] += TENANT_FORGET
             total = sum(self.tenant_calls)
             if total > TENANT_KNOWN:
-                fair = quotas[offer.tenant] / sum(quotas)
+                fair = quotas[offer.tenant] / self.all_quotas
                 seen = max(1e-9, self.tenant_calls[offer.tenant] / total)
                 over = max(0.0, 1.0 - fair / seen)
                 worth *= 1.0 - over * (1.0 - self.settings.over_share_worth)
@@ -500,7 +555,7 @@
         entry = switch.entry
         if entry.state is not SwitchState.READY or not self.repeat_allowed(call, entry):
             return False
-        if entry.started_at <= 0 or self.now - entry.started_at >= self.settings.cold_span:
+        if not self.is_cold(entry):
             return True
         # cold: each proxy's part of what all may send over any tipping window, and no burst beyond it
         span = self.settings.tip_after
@@ -510,6 +565,9 @@
         budget = COLD_USE * self.settings.fall_multiple * self.settings.cold_share * usual
         return len(switch.sends) < max(1, int(budget))
 
+    def is_cold(self, entry: SwitchEntry) -> bool:
+        return entry.started_at > 0 and self.now - entry.started_at < self.settings.cold_span
+
     def repeat_allowed(self, call: Call, entry: SwitchEntry) -> bool:
         kind = self.settings.classes[call.offer.call_class]
         if call.may_have_run is None or kind.repeat is Repeat.FREELY:
@@ -526,33 +584,33 @@
 
     def send(self, call: Call, switch_id: SwitchId) -> None:
         offer, switch = call.offer, self.switches[switch_id]
-        rung = self.rung(offer.destination, switch_id)
         call.out_to, call.sent = switch_id, self.now
+        call.rung = rung = self.rung(offer.destination, switch_id)
         call.attempts += 1
         rung.out[offer.call] = self.now
         rung.last_use = self.now
         if switch.free is not None:
             switch.free -= offer.width
-        reached = {switch_id: switch}
+        reached = [switch]
         if switch.entry.exchange != offer.destination:
             call.tandem_tries += 1
-            if self.settings.layout is Layout.NETWORK and (target := self.target_of(offer.destination)):
-                reached[target] = self.switches[target]  # a set-up by tandem reaches it too
-        for each in reached.values():
-            each.sends.append(self.now)
-            if len(each.sends) > SENDS_KEPT:
-                each.sends.popleft()
+            if self.settings.layout is Layout.NETWORK and (target := self.target.get(offer.destination)):
+                reached.append(self.switches[target])  # a set-up by tandem reaches it too
+        for each in reached:
+            if each.entry.started_at > 0:
+                each.sends.append(self.now)
+                if len(each.sends) > SENDS_KEPT:
+                    each.sends.popleft()
         gap = min(RATE_SPAN, max(1.0, self.now - self.last_send))
         self.last_send = self.now
         self.send_rate += (1000.0 / gap - self.send_rate) * min(1.0, gap / RATE_SPAN)
         self.out.append(SetUp(offer.call, switch_id, max(1.0, call.due - self.now)))
 
     def detach(self, call: Call) -> None:
-        if call.out_to is not None:
-            rung = self.rung(call.offer.destination, call.out_to)
-            if rung.out.pop(call.offer.call, None) is not None:
-                rung.last_use = self.now
-            call.out_to = None
+        if call.rung is not None:
+            if call.rung.out.pop(call.offer.call, None) is not None:
+                call.rung.last_use = self.now
+            call.rung = call.out_to = None
 
     def refuse(self, call: Call) -> None:
         kind = self.settings.classes[call.offer.call_class]
@@ -573,7 +631,12 @@
         call = self.calls.pop(call_id, None)
         if call is not None:
             self.detach(call)
-            self.waiting.pop(call_id, None)
+            self.stop_waiting(call)
+
+    def stop_waiting(self, call: Call) -> None:
+        queue = self.waiting.get(call.offer.destination)
+        if queue and queue.pop(call.offer.call, None) and not queue:
+            del self.waiting[call.offer.destination]
 
     # Small helpers
 
@@ -584,28 +647,13 @@
             found = self.rungs[key] = Rung()
         return found
 
-    def direct_rung(self, destination: int) -> Rung:
-        return self.rung(destination, self.target_of(destination) or 0)
+    def look_again(self, call: Call, when: float) -> None:
+        heappush(self.agenda, (when, call.offer.call))
 
-    def target_of(self, exchange: int) -> SwitchId | None:
-        """The switch that serves an exchange: of several, one that is ready and started last."""
-        best: Switch | None = None
-        for switch_id in self.at_exchange.get(exchange, ()):
-            switch = self.switches[switch_id]
-            key = (switch.entry.state is SwitchState.READY, switch.entry.started_at)
-            if best is None or key > (best.entry.state is SwitchState.READY, best.entry.started_at):
-                best = switch
-        return best.entry.switch if best else None
-
-    def set_timer(self, span: float, call_id: int) -> None:
-        self.tags += 1
-        self.timers[self.tags + 1] = call_id
-        self.out.append(SetTimer(span, self.tags + 1))
-
-    def look_at_waiting(self) -> None:
-        """Give each waiting call another try, the worthiest first, then the oldest."""
-        if not self.waiting:
-            return
-        order = sorted(self.waiting.values(), key=lambda c: (-self.worth(c.offer), c.arrived, c.offer.call))
-        for call in order:
-            self.advance(call)
+    def set_timer(self) -> None:
+        """One timer for the earliest look at a call that is still here; a new one only if that is earlier."""
+        while self.agenda and self.agenda[0][1] not in self.calls:
+            heappop(self.agenda)
+        if self.agenda and self.agenda[0][0] < self.timer_at:
+            self.timer_at = max(self.now, self.agenda[0][0])
+            self.out.append(SetTimer(self.timer_at - self.now, 0))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -44,20 +44,30 @@
         self.controller = Controller(replace(SETTINGS, **changes), seed)
         self.now = 10_000.0
         self.calls = 0
+        self.timers: list[tuple[float, int]] = []
         self.controller.start(self.now)
         if listed:
             self.list(*[entry(place) for place in range(4)])
 
     def feed(self, event: api.Event) -> list[api.Action]:
-        return self.controller.handle(self.now, event)
+        actions = self.controller.handle(self.now, event)
+        self.timers += [(self.now + a.span, a.tag) for a in actions if isinstance(a, api.SetTimer)]
+        return actions
+
+    def wait(self, span: float) -> list[api.Action]:
+        """Let time pass, and fire the timers that fall due on the way."""
+        end, seen = self.now + span, []
+        while self.timers and min(self.timers)[0] <= end:
+            timer = min(self.timers)
+            self.timers.remove(timer)
+            self.now = max(self.now, timer[0])
+            seen += self.feed(api.TimerDue(timer[1]))
+        self.now = end
+        return seen
 
     def list(self, *entries: api.SwitchEntry, kind: api.ListKind = api.ListKind.WHOLE) -> list[api.Action]:
         return self.feed(api.SwitchList(kind, entries))
 
-    def tick(self, span: float) -> None:
-        self.now += span
-        self.feed(api.PeerMessage(0, b""))  # nothing but the clock
-
     def offer(self, destination: int = 1, budget: float = 3000.0, **changes: object) -> list[api.Action]:
         self.calls += 1
         return self.feed(
@@ -84,12 +94,6 @@
             api.AttemptEnded(call, attempt, 100 + place, outcome, cause, 0.0, concluded)
         )
 
-    def due(self, actions: list[api.Action], call_budget: float) -> list[api.Action]:
-        """Move to the timer set nearest to a call's end and fire it."""
-        timer = [a for a in actions if isinstance(a, api.SetTimer)][0]
-        self.now += max(timer.span, call_budget)
-        return self.feed(api.TimerDue(timer.tag))
-
 
 def sent(actions: list[api.Action]) -> list[int]:
     """Exchanges that set-ups went to."""
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -1,7 +1,8 @@
 """The ordinary path: ladder, semaphores, p_alpha, skipping, waiting and refusal."""
 
 from dapplehinge import interface as api
-from tests.conftest import Proxy, kinds, sent
+from dapplehinge.rules import Rung
+from tests.conftest import Proxy, entry, kinds, sent
 
 
 def test_direct_route_first(proxy):
@@ -27,60 +28,50 @@
 
 def test_semaphore_shuts_when_the_limit_has_passed_without_an_answer(proxy):
     proxy.offer(1)
-    rung = proxy.controller.direct_rung(1)
-    limit = proxy.controller.limit
-    assert not rung.shut(proxy.now + limit, limit)
-    assert rung.shut(proxy.now + limit + 1, limit)
+    proxy.wait(proxy.controller.limit)
+    assert sent(proxy.offer(1)) == [1]
+    proxy.wait(1)
+    assert sent(proxy.offer(1)) == []
 
 
 def test_semaphore_reopens_on_a_set_up_that_stands_in_time(proxy):
+    limit = proxy.controller.limit
     proxy.offer(1)
-    proxy.tick(proxy.controller.limit + 1)
-    rung = proxy.controller.direct_rung(1)
-    assert rung.shut(proxy.now, proxy.controller.limit)
-    proxy.controller.now = proxy.now
-    proxy.controller.send(*call_in_hand(proxy, 1))
-    proxy.now += 20
-    proxy.stands(proxy.calls, 1)
-    assert not rung.shut(proxy.now, proxy.controller.limit)
-
-
-def call_in_hand(proxy, destination):
-    """A fresh call that the ladder has not placed, and the switch of its destination."""
-    offer = api.CallOffered(900 + proxy.calls, 0, destination, 3000.0)
-    proxy.calls = offer.call
-    call = type(next(iter(proxy.controller.calls.values())))(offer, proxy.now, proxy.now + 2990)
-    proxy.controller.calls[offer.call] = call
-    return call, 100 + destination
+    proxy.wait(0.9 * limit)
+    proxy.offer(1)
+    proxy.wait(0.2 * limit)
+    assert sent(proxy.offer(1)) == []  # the first is overdue
+    assert sent(proxy.stands(2, 1)) == [1]  # the second stood in time: the call that waited goes
+    assert sent(proxy.offer(1)) == [1]
 
 
 def test_late_result_of_an_old_set_up_does_not_undo_newer_evidence(proxy):
     proxy.offer(1)  # call 1: old and slow
-    proxy.now += 100
+    proxy.wait(100)
     proxy.offer(1)  # call 2: newer, stands at once
-    proxy.now += 50
+    proxy.wait(50)
     proxy.stands(2, 1)
-    proxy.now += proxy.controller.limit
-    proxy.ended(1, 1, api.Outcome.TIMED_OUT)
-    assert not proxy.controller.direct_rung(1).shut(proxy.now, proxy.controller.limit)
+    proxy.wait(proxy.controller.limit)
+    proxy.ended(1, 1, api.Outcome.TIMED_OUT, concluded=True)
+    assert sent(proxy.offer(1)) == [1]
 
 
 def test_unused_shut_semaphore_reopens(proxy):
     proxy.offer(1)
-    proxy.ended(1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL)
-    limit = proxy.controller.limit
-    rung = proxy.controller.direct_rung(1)
-    assert rung.shut(proxy.now + limit - 1, limit)
-    assert not rung.shut(proxy.now + limit + 1, limit)
+    proxy.ended(1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL, concluded=True)
+    proxy.wait(proxy.controller.limit - 1)
+    assert sent(proxy.offer(1)) == []
+    assert sent(proxy.wait(20)) == [1]  # the call that waited goes as soon as the rest has passed
 
 
 def test_busy_line_and_lack_of_circuits_shut_nothing(proxy):
     proxy.offer(1)
     proxy.ended(1, 1, api.Outcome.LINE_BUSY, api.Cause.LINES_ENGAGED)
+    assert sent(proxy.offer(1)) == [1]
     proxy.offer(2)
-    proxy.ended(2, 2, api.Outcome.NOT_SENT, api.Cause.NO_CIRCUIT)
-    for place in (1, 2):
-        assert not proxy.controller.direct_rung(place).shut(proxy.now, proxy.controller.limit)
+    proxy.ended(2, 2, api.Outcome.NOT_SENT, api.Cause.NO_CIRCUIT, concluded=True)
+    proxy.free(2, 5)
+    assert sent(proxy.offer(2)) == [2]
 
 
 def test_rate_is_calls_over_time_and_guards_a_zero_span(proxy):
@@ -95,7 +86,7 @@
 def test_spill_share_follows_the_paper_and_stays_within_bounds(proxy):
     controller = proxy.controller
     proxy.offer(1)
-    rung = controller.direct_rung(1)
+    rung = controller.rung(1, 101)
     rung.stood.extend([proxy.now] * 2)
     mu = rung.service_rate(proxy.now, 4 * controller.limit)
     low, high = controller.spill_share(rung, 4 * mu, 1.0), controller.spill_share(rung, 4 * mu, 0.5)
@@ -115,11 +106,36 @@
 def test_waiting_call_is_refused_when_its_patience_ends(proxy):
     for place in (1, 2, 3):
         proxy.free(place, 0)
-    actions = proxy.offer(1)
-    look = [a for a in actions if isinstance(a, api.SetTimer) and a.tag == 0]
-    assert look
-    proxy.now += 1500  # half of the budget
-    assert kinds(proxy.feed(api.TimerDue(0))) == [api.Refuse]
+    proxy.offer(1)
+    assert kinds(proxy.wait(1400)) == []
+    assert kinds(proxy.wait(200)) == [api.Refuse]  # half of the budget has passed
+
+
+def test_waiting_calls_are_not_looked_at_while_nothing_changes(proxy, monkeypatch):
+    for place in (1, 2, 3):
+        proxy.free(place, 0)
+    for _ in range(5):
+        proxy.offer(1)
+    looks = []
+    choose = proxy.controller.choose
+    monkeypatch.setattr(proxy.controller, "choose", lambda call: looks.append(call) or choose(call))
+    proxy.wait(1000)
+    proxy.free(2, 0)
+    assert looks == []
+    proxy.free(1, 1)
+    assert looks
+
+
+def test_open_direct_rung_costs_no_look_at_another_however_many_exchanges(monkeypatch):
+    for size in (4, 70):
+        proxy = Proxy()
+        proxy.list(*[entry(place) for place in range(size)])
+        looks = []
+        look = Rung.shut
+        monkeypatch.setattr(Rung, "shut", lambda *a, look=look, looks=looks: looks.append(1) or look(*a))
+        assert sent(proxy.offer(1)) == [1]
+        monkeypatch.undo()
+        assert len(looks) == 1
 
 
 def test_worthiest_waiting_call_gets_the_circuit():
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -8,30 +8,23 @@
 
 
 def test_answer_before_the_budget_ends_with_an_attempt_out(proxy):
-    actions = proxy.offer(1, budget=1000.0)
-    timer = next(a for a in actions if isinstance(a, api.SetTimer))
-    assert timer.span <= 1000.0
-    proxy.now += timer.span
-    assert kinds(proxy.feed(api.TimerDue(timer.tag))) == [api.Cancel, api.Fail]
+    proxy.offer(1, budget=1000.0)
+    assert kinds(proxy.wait(1000)) == [api.Cancel, api.Fail]
     assert kinds(proxy.ended(1, 1, api.Outcome.CANCELLED)) == []  # nothing more for a call that is over
 
 
 def test_answer_before_the_budget_ends_while_the_release_is_awaited(proxy):
-    actions = proxy.offer(1, budget=400.0)
-    timer = next(a for a in actions if isinstance(a, api.SetTimer))
-    proxy.now += 200
+    proxy.offer(1, budget=400.0)
+    proxy.wait(200)
     assert kinds(proxy.ended(1, 1, api.Outcome.TIMED_OUT)) == [api.Refuse]
-    assert kinds(proxy.feed(api.TimerDue(timer.tag))) == []
+    assert kinds(proxy.wait(300)) == []
 
 
 def test_answer_before_the_budget_ends_while_waiting(proxy):
     for place in (1, 2, 3):
         proxy.free(place, 0)
-    actions = proxy.offer(1, budget=30.0)
-    spans = [a.span for a in actions if isinstance(a, api.SetTimer) and a.tag > 1]
-    proxy.now += spans[0]
-    tag = next(a.tag for a in actions if isinstance(a, api.SetTimer) and a.tag > 1)
-    assert kinds(proxy.feed(api.TimerDue(tag))) == [api.Refuse]
+    proxy.offer(1, budget=30.0)
+    assert kinds(proxy.wait(30)) == [api.Refuse]
 
 
 def test_attempt_time_out_leaves_room_for_the_answer(proxy):
@@ -47,8 +40,7 @@
 def test_one_attempt_at_a_time(proxy):
     actions = proxy.offer(1)
     assert len(sent(actions)) == 1
-    proxy.now += 50
-    assert sent(proxy.feed(api.TimerDue(0))) == []
+    assert sent(proxy.wait(50)) == []
     assert sent(proxy.free(1, 5)) == []
     assert sent(proxy.offer(2, call=1)) == []  # the same call offered again
 
@@ -97,23 +89,20 @@
 @pytest.mark.parametrize("outcome", [api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED])
 def test_release_is_awaited(proxy, outcome):
     proxy.offer(1)
-    proxy.now += 100
-    actions = proxy.ended(1, 1, outcome)
-    assert sent(actions) == []
-    timer = next(a for a in actions if isinstance(a, api.SetTimer))
-    assert timer.span >= SETTINGS.guard
-    proxy.now += SETTINGS.guard - 5
-    assert sent(proxy.free(1, 9)) == [] and sent(proxy.feed(api.TimerDue(0))) == []
+    proxy.wait(100)
+    assert sent(proxy.ended(1, 1, outcome)) == []
+    assert sent(proxy.wait(SETTINGS.guard - 5)) == [] and sent(proxy.free(1, 9)) == []
+    assert len(sent(proxy.wait(SETTINGS.cold_span))) == 1
 
 
 def test_attempt_limit(proxy):
     proxy.offer(1, budget=60_000.0)
     attempts = 1
     for _ in range(20):
-        proxy.now += 1000
+        proxy.wait(1000)
         actions = proxy.ended(1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL, attempt=attempts - 1)
         if not sent(actions):
-            actions = proxy.feed(api.TimerDue(0))
+            actions = proxy.wait(1000)
         attempts += len(sent(actions))
         if api.Refuse in kinds(actions):
             break
@@ -130,11 +119,7 @@
     proxy = never_repeated()
     proxy.offer(1)
     proxy.ended(1, 1, api.Outcome.TIMED_OUT)
-    proxy.now += 301
-    timer = max(proxy.controller.timers)
-    assert sent(proxy.feed(api.TimerDue(timer))) == []
-    proxy.now += 5000
-    assert kinds(proxy.feed(api.TimerDue(0))) in ([api.Fail], [])
+    assert kinds(proxy.wait(5000)) == [api.Fail]
 
 
 def test_call_that_surely_never_ran_may_be_refused():
@@ -200,8 +185,7 @@
     for place in (1, 2, 3):
         proxy.free(place, 20, 20)
     assert sent(proxy.offer(1, width=50)) == []
-    proxy.now += 2500
-    assert kinds(proxy.feed(api.TimerDue(0))) == [api.Refuse]
+    assert kinds(proxy.wait(2500)) == [api.Refuse]
 
 
 def test_failed_subscription_is_asked_for_again():
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -33,8 +33,7 @@
 def test_many_shut_rungs_stop_spilling(proxy):
     for place in (1, 2):
         proxy.offer(place)
-    proxy.tick(proxy.controller.limit + 1)
-    assert proxy.controller.near_pressed()
+    proxy.wait(proxy.controller.limit + 1)
     proxy.free(3, 0)
     assert sent(proxy.offer(3)) == []
 
@@ -43,7 +42,7 @@
     proxy.free(1, 0)
     tandem = sent(proxy.offer(1))[0]
     proxy.ended(1, tandem, api.Outcome.REJECTED, api.Cause.TURNED_BACK_FULL)
-    assert proxy.controller.direct_rung(1).shut(proxy.now, proxy.controller.limit)
+    assert sent(proxy.free(1, 9)) == [] and sent(proxy.offer(1)) == []
 
 
 def test_restarted_proxy_uses_its_saved_list():
@@ -53,15 +52,13 @@
 
 
 def test_rung_that_keeps_failing_rests_longer(proxy):
-    rung, limit = proxy.controller.direct_rung(1), proxy.controller.limit
+    limit = proxy.controller.limit
     for turn in range(3):
-        proxy.tick(1000)
-        proxy.offer(1)
-        proxy.ended(turn + 1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL)
-    assert rung.failed == 3
-    assert rung.shut(proxy.now + 3 * limit, limit)
-    assert not rung.shut(proxy.now + 4 * limit + 1, limit)  # it must see the end of the trouble
-    proxy.tick(4 * limit + 1)
-    proxy.offer(1, call=50)
-    proxy.stands(50, 1)
-    assert rung.failed == 0
+        proxy.wait(1200)
+        assert sent(proxy.offer(1)) == [1]
+        proxy.ended(turn + 1, 1, api.Outcome.REJECTED, api.Cause.PROCESSOR_FULL, concluded=True)
+    proxy.wait(3 * limit)
+    assert sent(proxy.offer(1)) == []
+    assert sent(proxy.wait(limit + 10)) == [1]  # it must see the end of the trouble
+    proxy.stands(proxy.calls, 1)
+    assert sent(proxy.offer(1)) == [1]
