--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -72,6 +72,7 @@
 COLD_USE = 1.0  # part of a cold switch's tolerable load that all proxies together plan to use
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
 ASK_AGAIN = 0.1  # a failed subscription is asked for again after this share of the asking limit
+LIST_TAG = 1  # tag of the timer that asks for the list again; the calls' timers count up from it
 DEADLINE_ROUNDS = 2.0  # rounds kept free before the end of a call's budget
 
 
@@ -165,7 +166,8 @@
         self.send_rate = 0.0  # set-ups a second this proxy sends, by exponential forgetting
         self.last_send = 0.0
         self.agenda: list[tuple[float, int]] = []  # heap of when to look at which call again
-        self.timer_at = inf  # when the next timer that is set falls due
+        self.timer_at = inf  # when the newest timer falls due; older ones are ignored
+        self.timer_tag = LIST_TAG
         self.pressed: tuple[float, bool] = (-1.0, False)  # the near end, as it was judged then
         self.limit = DELAY_SHARE * min((c.target for c in settings.classes), default=2000.0)
         self.slack = DEADLINE_ROUNDS * settings.round_span
@@ -312,10 +314,10 @@
                     self.wake(destination)
 
     def timer(self, event: TimerDue) -> None:
-        if event.tag == 1:
+        if event.tag == LIST_TAG:
             self.out.append(Subscribe())
             return
-        if self.now >= self.timer_at:
+        if event.tag == self.timer_tag:  # by its tag: a clock that rounds may bring it a hair early
             self.timer_at = inf
         while self.agenda and self.agenda[0][0] <= self.now:
             call = self.calls.get(heappop(self.agenda)[1])
@@ -332,7 +334,7 @@
     def listed(self, event: SwitchList) -> None:
         if event.kind is ListKind.FAILED:
             # guards against a deaf proxy: asked for again, but not at once, as discovery may be full
-            self.out.append(SetTimer(ASK_AGAIN * self.settings.ask_within, 1))
+            self.out.append(SetTimer(ASK_AGAIN * self.settings.ask_within, LIST_TAG))
             return
         if event.kind is not ListKind.CHANGES:
             named = {entry.switch for entry in event.entries}
@@ -656,4 +658,5 @@
             heappop(self.agenda)
         if self.agenda and self.agenda[0][0] < self.timer_at:
             self.timer_at = max(self.now, self.agenda[0][0])
-            self.out.append(SetTimer(self.timer_at - self.now, 0))
+            self.timer_tag += 1
+            self.out.append(SetTimer(self.timer_at - self.now, self.timer_tag))
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -203,3 +203,11 @@
     proxy.list(entry(2, started_at=proxy.now - 10), kind=api.ListKind.CHANGES)
     proxy.free(2, 0)
     assert len(sum((sent(proxy.offer(2)) for _ in range(6)), [])) == 1  # set-ups by tandem reach it too
+
+
+def test_timer_that_comes_a_hair_early_loses_no_call(proxy):
+    (timer,) = [a for a in proxy.offer(1, budget=1000.0) if isinstance(a, api.SetTimer)]
+    proxy.timers.clear()
+    proxy.now += timer.span - 0.0004  # the clock of the wire counts in microseconds
+    proxy.feed(api.TimerDue(timer.tag))
+    assert kinds(proxy.wait(5)) == [api.Cancel, api.Fail]
