--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -62,3 +62,21 @@
     assert sent(proxy.wait(limit + 10)) == [1]  # it must see the end of the trouble
     proxy.stands(proxy.calls, 1)
     assert sent(proxy.offer(1)) == [1]
+
+
+def test_tandem_that_never_gets_through_is_soon_left_alone_and_found_again():
+    proxy = Proxy()
+    proxy.list(*[entry(place) for place in range(3)])
+    proxy.free(1, 0)
+    tries = []
+    for second in range(200):
+        proxy.wait(1000)
+        for _ in sent(proxy.offer(1)):
+            tries.append(second)
+            proxy.ended(proxy.calls, 2, api.Outcome.REJECTED, api.Cause.TURNED_BACK)
+    assert len(tries) <= 9 and max(tries) > 100
+    proxy.wait(50_000)
+    assert sent(proxy.offer(1)) == [2]
+    proxy.stands(proxy.calls, 2)
+    proxy.wait(1000)
+    assert sent(proxy.offer(1)) == [2]
