Rule 4 by construction: turns to send to a cold switch, phased by position

Cause: every proxy might send a cold switch one set-up in each tipping window; with 50 to 70 proxies that floor alone can tip it. Change: what the switch bears in a window (multiple x capacity share, taken to grow linearly to warm, x what other switches get) is shared out as turns of one set-up that lapse when unused; a cold switch takes no tandem traffic. A test with 70 controllers and one cold switch, then a third of them cold, holds every window below what tips it, and shows that the same calls tip it without the budget.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from math import ceil, inf, sqrt
+from math import ceil, exp, floor, inf, sqrt
 from random import Random
 from typing import Any
 
@@ -55,7 +55,6 @@
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 CIRCUIT_WAIT_SHARE = 0.85  # the same where only a circuit lacks: once one frees the call stands fast
-WAIT_STEP = 50.0  # ms between looks at a call that waits for a cold switch's budget
 TURN_BACK_DOUBLINGS = 4  # how often that rest may double: a missing second group is soon left alone
 TURN_BACK_REST = 3000.0  # ms a tandem rests for one destination after turning a call back
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
@@ -66,10 +65,10 @@
 MOST_FAVOUR = 2.0  # most that a call's worth may raise its spill share: p must still bound the feed
 TENANT_FORGET = 0.01  # weight of the newest call in the tenants' shares: about a hundred calls count
 TENANT_KNOWN = 0.2  # seen weight from which those shares are believed: some twenty calls
-RATE_SPAN = 5000.0  # ms over which the own sending rate is learnt
+RATE_SPAN = 5000.0  # ms over which the own rate of calls is learnt
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
-SENDS_KEPT = 200  # set-ups remembered per switch, more than any cold budget lets through
 COLD_USE = 1.0  # part of a cold switch's tolerable load that all proxies together plan to use
+TURN_OPEN = 0.5  # how long a turn to send to a cold switch stays open, in tipping windows
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
 ASK_AGAIN = 0.1  # a failed subscription is asked for again after this share of the asking limit
 LIST_TAG = 1  # tag of the timer that asks for the list again; the calls' timers count up from it
@@ -124,7 +123,9 @@
     free: int | None = None  # free circuits of the group to it; None: not told yet
     size: int = 0
     kept_back: int = 0  # circuits that trunk reservation keeps for direct calls
-    sends: deque[float] = field(default_factory=deque)  # set-ups sent while it is cold
+    turns: float = 0.0  # while it is cold: this proxy's turns to send to it so far
+    turns_at: float = -1.0  # and when they were counted
+    spent: int = -1  # the last turn that was used
 
     def has_room(self, width: int, reserved: bool) -> bool:
         return self.free is None or self.free >= width + (self.kept_back if reserved else 0)
@@ -163,8 +164,8 @@
         self.all_quotas = sum(settings.tenant_quotas)
         self.engaged: dict[int, tuple[float, float]] = {}  # number -> rest, and when it ends
         self.mean_worth = 0.0
-        self.send_rate = 0.0  # set-ups a second this proxy sends, by exponential forgetting
-        self.last_send = 0.0
+        self.offers = self.offers_span = 0.0  # own calls and the time they came in, forgotten alike
+        self.offered_at = 0.0
         self.agenda: list[tuple[float, int]] = []  # heap of when to look at which call again
         self.timer_at = inf  # when the newest timer falls due; older ones are ignored
         self.timer_tag = LIST_TAG
@@ -187,7 +188,7 @@
 
     def start(self, now: float) -> list[Action]:
         """What a proxy does as it comes up."""
-        self.now, self.out = now, []
+        self.now, self.out, self.offered_at = now, [], now
         if self.settings.must_ask_for_list:
             self.out.append(Subscribe())
         return self.out
@@ -206,6 +207,9 @@
         call = Call(offer, self.now, self.now + offer.budget - self.slack)
         self.calls[offer.call] = call
         if not offer.in_transit:
+            gap, self.offered_at = self.now - self.offered_at, self.now
+            self.offers = self.offers * exp(-gap / RATE_SPAN) + 1.0
+            self.offers_span = self.offers_span * exp(-gap / RATE_SPAN) + gap
             past = self.arrivals.get(offer.destination)
             if past is None:
                 past = self.arrivals[offer.destination] = deque(maxlen=RATE_CALLS + 1)
@@ -346,8 +350,6 @@
                 self.switches.pop(entry.switch, None)
             elif entry.switch in self.switches:
                 known = self.switches[entry.switch]
-                if entry.started_at > known.entry.started_at:
-                    known.sends.clear()
                 known.entry = entry
             else:
                 self.switches[entry.switch] = Switch(entry)
@@ -405,7 +407,7 @@
         """When rest alone may open the direct rung to a waiting call; all else that helps it is an event."""
         direct = self.target[call.offer.destination]
         if self.is_cold(self.switches[direct].entry):
-            return self.now + WAIT_STEP
+            return self.turn(self.switches[direct])[1] + self.settings.round_span
         rung = self.rung(call.offer.destination, direct)
         opens = rung.opens(self.limit) + self.settings.round_span
         return opens if not rung.out and opens > self.now and rung.shut(self.now, self.limit) else inf
@@ -454,7 +456,7 @@
             if switch_id in call.avoid or not switch.has_room(offer.width, True):
                 continue
             rung = self.rung(offer.destination, switch_id)
-            if now < rung.rests_until or not self.may_send(switch, call) or not self.open_tandem(switch_id):
+            if now < rung.rests_until or not self.may_send(switch, call) or not self.open_tandem(switch):
                 continue
             if not rung.shut(now, self.limit):
                 return switch_id
@@ -511,10 +513,12 @@
             return False
         return not self.near_pressed()
 
-    def open_tandem(self, tandem: SwitchId) -> bool:
+    def open_tandem(self, tandem: Switch) -> bool:
         if self.settings.layout is Layout.POOLS:
             return True
-        own = self.rungs.get((self.switches[tandem].entry.exchange, tandem))
+        if self.is_cold(tandem.entry):
+            return False  # what it bears is left to the calls that have no other way
+        own = self.rungs.get((tandem.entry.exchange, tandem.entry.switch))
         return own is None or not own.shut(self.now, self.limit)
 
     def near_pressed(self) -> bool:
@@ -559,17 +563,35 @@
             return False
         if not self.is_cold(entry):
             return True
-        # cold: each proxy's part of what all may send over any tipping window, and no burst beyond it
-        span = self.settings.tip_after
-        while switch.sends and switch.sends[0] < self.now - span:
-            switch.sends.popleft()
-        usual = self.send_rate * span / 1000.0 / max(1, len(self.switches) - 1)
-        budget = COLD_USE * self.settings.fall_multiple * self.settings.cold_share * usual
-        return len(switch.sends) < max(1, int(budget))
+        return self.turn(switch)[0] is not None
 
     def is_cold(self, entry: SwitchEntry) -> bool:
         return entry.started_at > 0 and self.now - entry.started_at < self.settings.cold_span
 
+    def turn(self, switch: Switch) -> tuple[int | None, float]:
+        """The open turn to send a cold switch one set-up, if any, and when the next one opens.
+
+        Guards against all proxies together pushing a cold processor over, however many they are. What it
+        bears in a tipping window is shared out as turns, one set-up each, which lapse when not used: no
+        window is touched by more turns than it bears, as the proxies take them in the order of their
+        positions. It holds for many cold at once too, and may hurt where calls are so few that turns lapse.
+        """
+        s, now = self.settings, self.now
+        started = switch.entry.started_at
+        grown = min(1.0, s.cold_share + (1.0 - s.cold_share) * (now - started) / s.cold_span)
+        usual = self.offers / max(1.0, self.offers_span)  # what other switches get, per proxy and ms
+        open_for = TURN_OPEN * s.tip_after
+        bears = COLD_USE * s.fall_multiple * grown * usual / len(self.switches)
+        pace = max(1e-9, bears * s.tip_after / (s.tip_after + open_for))  # turns a ms
+        if switch.turns_at < started:
+            switch.turns, switch.turns_at, switch.spent = 0.0, started, -1
+        switch.turns += (now - switch.turns_at) * pace
+        switch.turns_at = now
+        place = switch.turns - s.position / max(1, s.proxies)
+        current = floor(place)
+        is_open = switch.spent < current and place >= 0.0 and place - current <= open_for * pace
+        return current if is_open else None, now + (current + 1 - place) / pace
+
     def repeat_allowed(self, call: Call, entry: SwitchEntry) -> bool:
         kind = self.settings.classes[call.offer.call_class]
         if call.may_have_run is None or kind.repeat is Repeat.FREELY:
@@ -599,13 +621,8 @@
             if self.settings.layout is Layout.NETWORK and (target := self.target.get(offer.destination)):
                 reached.append(self.switches[target])  # a set-up by tandem reaches it too
         for each in reached:
-            if each.entry.started_at > 0:
-                each.sends.append(self.now)
-                if len(each.sends) > SENDS_KEPT:
-                    each.sends.popleft()
-        gap = min(RATE_SPAN, max(1.0, self.now - self.last_send))
-        self.last_send = self.now
-        self.send_rate += (1000.0 / gap - self.send_rate) * min(1.0, gap / RATE_SPAN)
+            if self.is_cold(each.entry) and (turn := self.turn(each)[0]) is not None:
+                each.spent = turn
         self.out.append(SetUp(offer.call, switch_id, max(1.0, call.due - self.now)))
 
     def detach(self, call: Call) -> None:
