Tandems in the order of the own group's size

A large own group leads to a large exchange, which is likelier to have a large group beyond. It may hurt where the largest groups lead to the busiest processors; their semaphores and reservation still count.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -310,6 +310,7 @@
                 switch.free = int(value)
             elif load is Load.GROUP_SIZE and value != switch.size:
                 switch.size = int(value)
+                self.ladders.clear()
                 switch.kept_back = ceil(RESERVE_ROOTS * sqrt(switch.size))
         if switch.free is not None and self.waiting and (before is None or switch.free > before):
             self.wake(switch.entry.exchange)
@@ -499,6 +500,8 @@
                 if places:  # each pair starts its fixed order elsewhere, so that spilled calls spread
                     turn = (own + offer.destination) % len(places)
                     places = places[turn:] + places[:turn]
+                # a large group leads to a large exchange, which is likelier to have a group to the destination
+                places.sort(key=lambda place: -self.switches[self.target[place]].size)
             ladder = self.ladders[key] = [self.target[place] for place in places if place in self.target]
         advised = self.target.get(offer.advised)
         if advised in ladder and advised != ladder[0]:
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -188,3 +188,12 @@
         return seen
 
     assert play(3) == play(3)
+
+
+def test_tandem_behind_the_largest_group_comes_first(proxy):
+    proxy.free(1, 0)
+    proxy.free(2, 9, 10)
+    proxy.free(3, 9, 30)
+    assert sent(proxy.offer(1)) == [3]
+    proxy.free(2, 9, 40)
+    assert sent(proxy.offer(1)) == [2]
