--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -500,7 +500,7 @@
                 if places:  # each pair starts its fixed order elsewhere, so that spilled calls spread
                     turn = (own + offer.destination) % len(places)
                     places = places[turn:] + places[:turn]
-                # a large group leads to a large exchange, which is likelier to have a group to the destination
+                # a large group leads to a large exchange, likelier to have a group to the destination
                 places.sort(key=lambda place: -self.switches[self.target[place]].size)
             ladder = self.ladders[key] = [self.target[place] for place in places if place in self.target]
         advised = self.target.get(offer.advised)
