Waiting calls are looked at when a rest ends; the turn-back rest doubles only while nothing got through; shorter turns

Calls that waited were no longer looked at when a tandem's rest or a shut rung ended by time alone; turns open for half a window halved the pace.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -55,7 +55,7 @@
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 CIRCUIT_WAIT_SHARE = 0.85  # the same where only a circuit lacks: once one frees the call stands fast
-TURN_BACK_DOUBLINGS = 4  # how often that rest may double: a missing second group is soon left alone
+TURN_BACK_DOUBLINGS = 4  # how often it may double while nothing gets through: the group beyond may be missing
 TURN_BACK_REST = 3000.0  # ms a tandem rests for one destination after turning a call back
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
@@ -68,7 +68,7 @@
 RATE_SPAN = 5000.0  # ms over which the own rate of calls is learnt
 TANDEM_TRIES = 2  # tandem attempts of one call: each costs two processors work, also when it is turned back
 COLD_USE = 1.0  # part of a cold switch's tolerable load that all proxies together plan to use
-TURN_OPEN = 0.5  # how long a turn to send to a cold switch stays open, in tipping windows
+TURN_OPEN = 0.25  # how long a turn to send to a cold switch stays open, in tipping windows
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
 ASK_AGAIN = 0.1  # a failed subscription is asked for again after this share of the asking limit
 LIST_TAG = 1  # tag of the timer that asks for the list again; the calls' timers count up from it
@@ -85,8 +85,8 @@
     last_use: float = -1.0
     failed: int = 0  # set-ups in a row that ended badly
     stood: deque[float] = field(default_factory=deque)
-    turned_back: int = 0  # calls in a row that the tandem turned back for want of a circuit beyond
-    rests_until: float = -1.0  # and how long it is left alone for that
+    turned_back: int = 0  # calls that the tandem turned back, while none got through yet; then -1
+    rests_until: float = -1.0  # how long it is left alone for a turn-back
 
     def shut(self, now: float, limit: float) -> bool:
         """Evidence counts by when a set-up was sent: the late end of an old one undoes nothing newer.
@@ -98,7 +98,7 @@
                 break
             if sent > self.bad_sent:
                 self.bad_sent = sent
-        return self.bad_sent > self.good_sent and (bool(self.out) or now <= self.opens(limit))
+        return self.bad_sent > self.good_sent and now <= self.opens(limit)
 
     def opens(self, limit: float) -> float:
         """When a shut rung with nothing out opens by rest alone.
@@ -106,6 +106,8 @@
         Guards against a far end that takes or turns away all it gets: each further try in a row is made
         after twice the rest. It may hurt when such an end recovers at once: the rest is bounded.
         """
+        if self.out:
+            return inf  # the end of what is out will tell
         return self.last_use + limit * float(1 << min(MOST_DOUBLINGS, max(0, self.failed - 1)))
 
     def went_bad(self, sent: float) -> None:
@@ -169,6 +171,7 @@
         self.agenda: list[tuple[float, int]] = []  # heap of when to look at which call again
         self.timer_at = inf  # when the newest timer falls due; older ones are ignored
         self.timer_tag = LIST_TAG
+        self.opens = inf  # when time alone may change the answer that choose() gave
         self.pressed: tuple[float, bool] = (-1.0, False)  # the near end, as it was judged then
         self.limit = DELAY_SHARE * min((c.target for c in settings.classes), default=2000.0)
         self.slack = DEADLINE_ROUNDS * settings.round_span
@@ -232,9 +235,10 @@
         if self.now - call.sent <= self.limit:
             rung.good_sent = max(rung.good_sent, call.sent)
             rung.stood.append(self.now)
-            rung.failed = rung.turned_back = 0
+            rung.failed = 0
         else:
             rung.went_bad(call.sent)
+        rung.turned_back = -1
         self.engaged.pop(call.offer.number, None)
         self.forget(event.call)
         self.wake(call.offer.destination)
@@ -271,8 +275,10 @@
         if event.cause is Cause.TURNED_BACK:
             # guards against calls sent again and again over a tandem whose group beyond is full or missing:
             # it is believed for longer than a late answer, as a circuit frees more slowly than a queue drains
-            rung.rests_until = self.now + TURN_BACK_REST * 2 ** min(TURN_BACK_DOUBLINGS, rung.turned_back)
-            rung.turned_back += 1
+            doublings = min(TURN_BACK_DOUBLINGS, max(0, rung.turned_back))
+            rung.rests_until = self.now + TURN_BACK_REST * 2**doublings
+            if rung.turned_back >= 0:  # nothing got through yet, so the group beyond may be missing
+                rung.turned_back += 1
         self.detach(call)
         if event.concluded:
             self.forget(event.call)
@@ -393,7 +399,7 @@
             queue = self.waiting.setdefault(offer.destination, {})
             if offer.call not in queue:
                 queue[offer.call] = call
-            self.look_again(call, min(patience, self.opens_at(call)))
+            self.look_again(call, min(patience, self.opens + self.settings.round_span))
 
     def wait_until(self, call: Call) -> float:
         """Until when a call waits at home: longer for a circuit than for a processor, which may stay slow."""
@@ -404,15 +410,6 @@
         share = WAIT_SHARE if room else CIRCUIT_WAIT_SHARE
         return call.arrived + min(share * self.settings.classes[offer.call_class].target, offer.budget / 2)
 
-    def opens_at(self, call: Call) -> float:
-        """When rest alone may open the direct rung to a waiting call; all else that helps it is an event."""
-        direct = self.target[call.offer.destination]
-        if self.is_cold(self.switches[direct].entry):
-            return self.turn(self.switches[direct])[1] + self.settings.round_span
-        rung = self.rung(call.offer.destination, direct)
-        opens = rung.opens(self.limit) + self.settings.round_span
-        return opens if not rung.out and opens > self.now and rung.shut(self.now, self.limit) else inf
-
     def wake(self, destination: int) -> None:
         """Give the calls that wait for a destination another try, the worthiest first, then the oldest."""
         queue = self.waiting.get(destination)
@@ -423,12 +420,15 @@
                 self.advance(call)
 
     def choose(self, call: Call) -> SwitchId | None:
-        offer, now = call.offer, self.now
+        """The rung that the call takes now, if any; `opens` is when time alone may change the answer."""
+        offer, now, self.opens = call.offer, self.now, inf
         direct = self.target.get(offer.destination)
         if direct is None or offer.destination == self.settings.own_exchange:
             return None
         switch = self.switches[direct]
         if not self.may_send(switch, call):
+            if self.is_cold(switch.entry):
+                self.opens = self.turn(switch)[1]
             if self.settings.layout is Layout.NETWORK:
                 return None  # a tandem would only carry the call to the same draining or cold switch
             blocked = True
@@ -445,6 +445,7 @@
                 return direct
             if offer.in_transit:
                 return None
+            self.opens = rung.opens(self.limit)
             rate = self.call_rate(offer.destination)
             share = self.spill_share(rung, rate, climbed)
             if self.random.random() < share * favour:
@@ -457,7 +458,10 @@
             if switch_id in call.avoid or not switch.has_room(offer.width, True):
                 continue
             rung = self.rung(offer.destination, switch_id)
-            if now < rung.rests_until or not self.may_send(switch, call) or not self.open_tandem(switch):
+            if now < rung.rests_until:
+                self.opens = min(self.opens, rung.rests_until)
+                continue
+            if not self.may_send(switch, call) or not self.open_tandem(switch):
                 continue
             if not rung.shut(now, self.limit):
                 return switch_id
@@ -512,9 +516,15 @@
         """Admission beside the ladder: an alternative route helps only where circuits lack."""
         if self.settings.layout is Layout.POOLS:
             return True
-        if call.tandem_tries >= TANDEM_TRIES or direct.shut(self.now, self.limit):
+        if call.tandem_tries >= TANDEM_TRIES:
+            return False
+        if direct.shut(self.now, self.limit):
+            self.opens = min(self.opens, direct.opens(self.limit))
             return False
-        return not self.near_pressed()
+        if self.near_pressed():
+            self.opens = self.now + self.limit
+            return False
+        return True
 
     def open_tandem(self, tandem: Switch) -> bool:
         if self.settings.layout is Layout.POOLS:
@@ -522,7 +532,10 @@
         if self.is_cold(tandem.entry):
             return False  # what it bears is left to the calls that have no other way
         own = self.rungs.get((tandem.entry.exchange, tandem.entry.switch))
-        return own is None or not own.shut(self.now, self.limit)
+        if own is None or not own.shut(self.now, self.limit):
+            return True
+        self.opens = min(self.opens, own.opens(self.limit))
+        return False
 
     def near_pressed(self) -> bool:
         """Direct rungs to many destinations shut together: the trouble is near, so nothing spills."""
@@ -584,7 +597,7 @@
         grown = min(1.0, s.cold_share + (1.0 - s.cold_share) * (now - started) / s.cold_span)
         usual = self.offers / max(1.0, self.offers_span)  # what other switches get, per proxy and ms
         open_for = TURN_OPEN * s.tip_after
-        bears = COLD_USE * s.fall_multiple * grown * usual / len(self.switches)
+        bears = COLD_USE * s.fall_multiple * grown * usual / max(1, len(self.switches) - 1)
         pace = max(1e-9, bears * s.tip_after / (s.tip_after + open_for))  # turns a ms
         if switch.turns_at < started:
             switch.turns, switch.turns_at, switch.spent = 0.0, started, -1
