--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -71,6 +71,7 @@
 TURN_OPEN = 0.25  # how long a turn to send to a cold switch stays open, in tipping windows
 NEAR_SPANS = 4.0  # how recent evidence of a direct rung must be, in C, to count when judging the near end
 ASK_AGAIN = 0.1  # a failed subscription is asked for again after this share of the asking limit
+DRAW_SHARE = 0.3  # a waiting call draws against p again after this share of C, while p is above 0
 LIST_TAG = 1  # tag of the timer that asks for the list again; the calls' timers count up from it
 DEADLINE_ROUNDS = 2.0  # rounds kept free before the end of a call's budget
 
@@ -448,6 +449,8 @@
             self.opens = rung.opens(self.limit)
             rate = self.call_rate(offer.destination)
             share = self.spill_share(rung, rate, climbed)
+            if share > 0.0:
+                self.opens = min(self.opens, now + DRAW_SHARE * self.limit)
             if self.random.random() < share * favour:
                 return direct
             climbed *= 1.0 - share
