--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -1,5 +1,7 @@
 """The five rules and the attempt limit, each as a guard that fails when taken out; odd input."""
 
+from dataclasses import replace
+
 import pytest
 
 from dapplehinge import interface as api
@@ -210,3 +212,36 @@
     proxy.now += timer.span - 0.0004  # the clock of the wire counts in microseconds
     proxy.feed(api.TimerDue(timer.tag))
     assert kinds(proxy.wait(5)) == [api.Cancel, api.Fail]
+
+
+def test_nearly_all_cold_draining_or_gone_within_one_batch_and_a_birth_in_it():
+    proxy = Proxy(listed=False)
+    proxy.list(*[entry(place) for place in range(9)], kind=api.ListKind.SAVED)
+    cold = [entry(place, started_at=proxy.now) for place in (1, 2, 3)]
+    draining = [entry(place, state=api.SwitchState.DRAINING) for place in (4, 5)]
+    gone = [entry(place, state=api.SwitchState.GONE) for place in (6, 7)]
+    proxy.list(*cold, *draining, *gone, kind=api.ListKind.CHANGES)
+    places, refused = [], 0
+    for place in (1, 2, 3, 4, 5, 6, 7, 8) * 4:
+        actions = proxy.offer(place)
+        if place == 8:
+            proxy.stands(proxy.calls, 8)
+        actions += proxy.wait(50)
+        places += sent(actions)
+        refused += kinds(actions).count(api.Refuse)
+    assert set(places) <= {1, 2, 3, 8} and places.count(8) == 4
+    assert all(places.count(place) <= 1 for place in (1, 2, 3))
+    refused += kinds(proxy.wait(3000)).count(api.Refuse)
+    assert refused >= 16  # all that could not be sent is answered
+
+
+def test_switches_that_left_take_their_rungs_with_them(proxy):
+    for turn in range(50):
+        proxy.list(entry(0), entry(1), replace(entry(2), switch=1000 + turn))
+        proxy.free(1, 0)
+        proxy.offer(2)
+        proxy.ended(proxy.calls, 900 + turn, api.Outcome.TIMED_OUT, concluded=True)
+    proxy.wait(10_000)
+    controller = proxy.controller
+    assert not controller.calls and not controller.waiting and not controller.agenda
+    assert len(controller.rungs) <= 4 and len(controller.switches) == 3
