--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -55,8 +55,8 @@
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
 CIRCUIT_WAIT_SHARE = 0.85  # the same where only a circuit lacks: once one frees the call stands fast
-TURN_BACK_DOUBLINGS = 4  # how often it may double while nothing gets through: the group beyond may be missing
 TURN_BACK_REST = 3000.0  # ms a tandem rests for one destination after turning a call back
+TURN_BACK_DOUBLINGS = 4  # how often it may double while nothing gets through: the group beyond may be missing
 ENGAGED_REST = 250.0  # ms a number rests after all its lines were engaged; doubles each time in a row
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
 LITTLE_WORTH = 0.5  # share of the mean worth: below it a call gets no last circuit and no tandem
@@ -97,8 +97,7 @@
         for sent in self.out.values():
             if now - sent <= limit:
                 break
-            if sent > self.bad_sent:
-                self.bad_sent = sent
+            self.went_bad(sent)
         return self.bad_sent > self.good_sent and now <= self.opens(limit)
 
     def opens(self, limit: float) -> float:
@@ -212,8 +211,9 @@
         self.calls[offer.call] = call
         if not offer.in_transit:
             gap, self.offered_at = self.now - self.offered_at, self.now
-            self.offers = self.offers * exp(-gap / RATE_SPAN) + 1.0
-            self.offers_span = self.offers_span * exp(-gap / RATE_SPAN) + gap
+            kept = exp(-gap / RATE_SPAN)
+            self.offers = self.offers * kept + 1.0
+            self.offers_span = self.offers_span * kept + gap
             past = self.arrivals.get(offer.destination)
             if past is None:
                 past = self.arrivals[offer.destination] = deque(maxlen=RATE_CALLS + 1)
@@ -357,8 +357,7 @@
             if entry.state is SwitchState.GONE:
                 self.switches.pop(entry.switch, None)
             elif entry.switch in self.switches:
-                known = self.switches[entry.switch]
-                known.entry = entry
+                self.switches[entry.switch].entry = entry
             else:
                 self.switches[entry.switch] = Switch(entry)
         # of several switches at one exchange, one that is ready and started last serves it
@@ -397,9 +396,7 @@
         elif offer.in_transit or self.now >= (patience := self.wait_until(call)):
             self.refuse(call)
         else:
-            queue = self.waiting.setdefault(offer.destination, {})
-            if offer.call not in queue:
-                queue[offer.call] = call
+            self.waiting.setdefault(offer.destination, {})[offer.call] = call
             self.look_again(call, min(patience, self.opens + self.settings.round_span))
 
     def wait_until(self, call: Call) -> float:
@@ -427,14 +424,12 @@
         if direct is None or offer.destination == self.settings.own_exchange:
             return None
         switch = self.switches[direct]
-        if not self.may_send(switch, call):
+        blocked = not self.may_send(switch, call)
+        if blocked:
             if self.is_cold(switch.entry):
                 self.opens = self.turn(switch)[1]
             if self.settings.layout is Layout.NETWORK:
                 return None  # a tandem would only carry the call to the same draining or cold switch
-            blocked = True
-        else:
-            blocked = False
         little = call.worth < LITTLE_WORTH * self.mean_worth
         climbed = 1.0  # product of (1 - p) of the shut rungs passed
         rate = -1.0
