--- a/dapplehinge/interface.py
+++ b/dapplehinge/interface.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from math import isfinite
 
 SwitchId = int
 """Opaque identity of one running switch; a machine that replaces it has another."""
@@ -125,6 +126,35 @@
     may_tell_peers: bool = False
     stay_away_heeded: float = 0.0  # longest stay-away that callers follow; 0: none
 
+    def __post_init__(self) -> None:
+        """Raise a `ValueError` that names the first field which makes no sense."""
+        if not self.classes:
+            raise ValueError("classes: at least one class of call is needed")
+        for index, kind in enumerate(self.classes):
+            _check(f"classes[{index}].target", kind.target, above=0.0)
+            _check(f"classes[{index}].worth", kind.worth)
+            _check(f"classes[{index}].late_worth", kind.late_worth)
+            _check(f"classes[{index}].repeat_window", kind.repeat_window)
+        for name in ("position", "guard", "answer_grace", "cold_span", "fall_multiple", "tip_after"):
+            _check(name, getattr(self, name))
+        for name in ("stop_sending_within", "over_share_worth", "ask_within", "stay_away_heeded"):
+            _check(name, getattr(self, name))
+        _check("proxies", self.proxies, least=1.0)
+        _check("max_attempts", self.max_attempts, least=1.0)
+        _check("round_span", self.round_span, above=0.0)
+        _check("cold_share", self.cold_share, most=1.0)
+        for index, quota in enumerate(self.tenant_quotas):
+            _check(f"tenant_quotas[{index}]", quota)
+
+
+def _check(
+    name: str, value: float, least: float = 0.0, above: float | None = None, most: float = 1e15
+) -> None:
+    if not isfinite(value) or value < least or value > most or (above is not None and value <= above):
+        bound = f"above {above:g}" if above is not None else f"at least {least:g}"
+        limit = f" and at most {most:g}" if most < 1e15 else ""
+        raise ValueError(f"{name}: {value!r} makes no sense, it must be a finite number {bound}{limit}")
+
 
 @dataclass(frozen=True, slots=True)
 class SwitchEntry:
--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -32,6 +32,7 @@
     ListKind,
     Load,
     Outcome,
+    PeerMessage,
     Refuse,
     Repeat,
     RepeatGroup,
@@ -185,6 +186,7 @@
             TimerDue: self.timer,
             CallerGone: lambda event: self.forget(event.call),
             SwitchList: self.listed,
+            PeerMessage: lambda event: None,  # proxies tell each other nothing yet
         }
 
     # Events
@@ -197,11 +199,12 @@
         return self.out
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        self.now, self.out = now, []
         handler = self.handlers.get(type(event))
-        if handler is not None:
-            handler(event)
-            self.set_timer()
+        if handler is None:
+            raise TypeError(f"not an event of dapplehinge.interface: {type(event).__name__}")
+        self.now, self.out = now, []
+        handler(event)
+        self.set_timer()
         return self.out
 
     def offered(self, offer: CallOffered) -> None:
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -245,3 +245,20 @@
     controller = proxy.controller
     assert not controller.calls and not controller.waiting and not controller.agenda
     assert len(controller.rungs) <= 4 and len(controller.switches) == 3
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("classes", ()), ("guard", -1.0), ("guard", float("nan")), ("max_attempts", 0), ("round_span", 0.0),
+        ("proxies", 0), ("cold_share", 1.5), ("tenant_quotas", (1.0, -2.0)), ("position", -1),
+    ],
+)  # fmt: skip
+def test_settings_that_make_no_sense_name_the_field(field, value):
+    with pytest.raises(ValueError, match=field):
+        replace(SETTINGS, **{field: value})
+
+
+def test_an_event_of_unknown_type_is_a_type_error(proxy):
+    with pytest.raises(TypeError, match="str"):
+        proxy.feed("an event")
