--- /dev/null
+++ b/dapplehinge/cli/main.py
@@ -0,0 +1,84 @@
+"""The command line. Exit codes: 0 done, 1 the thing judged failed, 2 usage or configuration."""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import PackageNotFoundError, version
+from pathlib import Path
+from typing import NoReturn
+
+import click
+
+from dapplehinge.config.load import Box, load
+from dapplehinge.config.source import ConfigError
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def _version() -> str:
+    try:
+        return version("dapplehinge")
+    except PackageNotFoundError:
+        return "unknown (not installed)"
+
+
+def fail(lines: list[str], code: int = 2) -> NoReturn:
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(code)
+
+
+def _loaded(file: Path) -> Box:
+    try:
+        return load(file)
+    except ConfigError as fault:
+        fail([*fault.problems, f"{file}: {len(fault.problems)} wrong; nothing was started"])
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(_version(), prog_name="dapplehinge")
+def main() -> None:
+    """A call router for small sites: places calls over trunk groups between exchanges, speaks IAX2."""
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--fd", type=int, hidden=True, help="serve this open socket")
+def run(file: Path, fd: int | None) -> None:
+    """Run the box that FILE describes, until SIGTERM drains it."""
+    from dapplehinge.proxy.run import run as run_box
+
+    box = _loaded(file)
+    try:
+        run_box(box, fd)
+    except OSError as fault:
+        fail([f"{file}: can not listen on {box.listen[0]}:{box.listen[1]}: {fault.strerror}"])
+
+
+@main.command("check-config")
+@click.argument("file", type=FILE)
+def check_config(file: Path) -> None:
+    """Check FILE and say all that is wrong with it at once."""
+    box = _loaded(file)
+    network = box.network
+    click.echo(
+        f"{file}: good: box {box.name}, {len(network.exchanges)} exchanges, "
+        f"{len(network.groups)} trunk groups, {len(network.kinds)} classes"
+    )
+
+
+@main.command()
+@click.argument("file", type=FILE)
+def standin(file: Path) -> None:
+    """Play the switches that FILE's box knows, on their addresses, until stopped."""
+    from dapplehinge.standins.play import play_switches
+
+    box = _loaded(file)
+    try:
+        play_switches(box)
+    except OSError as fault:
+        fail([f"{file}: a switch's address can not be listened on: {fault.strerror}"])
+
+
+if __name__ == "__main__":
+    main()
--- a/dapplehinge/iax2/auth.py
+++ b/dapplehinge/iax2/auth.py
@@ -46,7 +46,7 @@
     if not isinstance(key, rsa.RSAPrivateKey):
         raise BadKey("the private key is not an RSA key")
     if key.key_size > MOST_KEY_BITS:
-        raise BadKey(f"an RSA key of {key.key_size} bits: its answer does not fit, the most is {MOST_KEY_BITS}")
+        raise BadKey(f"the answer of an RSA key over {MOST_KEY_BITS} bits does not fit: {key.key_size}")
     signature = key.sign(challenge_text.encode(), padding.PKCS1v15(), hashes.SHA1())
     return base64.b64encode(signature).decode()
 
--- a/dapplehinge/iax2/engine.py
+++ b/dapplehinge/iax2/engine.py
@@ -574,6 +574,11 @@
             self.events.append(event)
 
     def _lost(self, leg: Leg, now: float) -> None:
+        if leg.alive and not leg.registering:
+            # the far end may hear us though we don't hear it: what it holds for the call is let go
+            body: Elements = {Ie.CAUSECODE: int(CauseCode.RECOVERY_ON_TIMER_EXPIRY)}
+            leg.exchange.unacked.clear()
+            leg.exchange.send(_IAX, int(Iax.HANGUP), write_elements(body), now)
         self._release(leg, Released(leg, CauseCode.RECOVERY_ON_TIMER_EXPIRY, "no answer", lost=True), now)
 
     def _gone(self, leg: Leg, now: float) -> None:
--- a/dapplehinge/iax2/leg.py
+++ b/dapplehinge/iax2/leg.py
@@ -29,7 +29,7 @@
 
     __slots__ = (
         "number", "addr", "outgoing", "state", "exchange", "elements", "opening_print", "credentials",
-        "challenge", "owner", "format", "bridge", "voice_in", "voice_out", "voice_format", "queued",
+        "challenge", "owner", "origin", "format", "bridge", "voice_in", "voice_out", "voice_format", "queued",
         "patience", "ping_due", "heard", "registering",
     )  # fmt: skip
 
@@ -43,7 +43,8 @@
         self.opening_print = 0  # tells a doubled NEW from a new one under the same number
         self.credentials: Credentials | None = None
         self.challenge = ""
-        self.owner: object = None
+        self.owner: tuple[int, int] | None = None  # the owner's name for it
+        self.origin: object = None  # who an owner took the caller for, while it is challenged
         self.format = 0  # media format agreed in ACCEPT
         self.bridge: Leg | None = None  # the leg that its voice goes to
         self.voice_in = 0  # last whole time-stamp of voice received
--- /dev/null
+++ b/dapplehinge/proxy/server.py
@@ -0,0 +1,342 @@
+"""A box: the IAX2 front and the call core on one event loop.
+
+A datagram's way is a straight line: port, engine, `_event`, core (with the module in it), `_carry`, engine,
+port.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+import structlog
+from tornado import gen
+from tornado.ioloop import IOLoop
+
+from dapplehinge import interface as api
+from dapplehinge.calls.actions import Action, Drop, End, Place, TellAnswered, TellRinging
+from dapplehinge.calls.core import CallCore, Offer
+from dapplehinge.calls.origin import Origin, Origins, Refusal
+from dapplehinge.config.load import TRANSIT_CONTEXT, Box
+from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
+from dapplehinge.iax2.elements import Elements, number, text
+from dapplehinge.iax2.engine import Engine
+from dapplehinge.iax2.leg import (
+    Accepted,
+    Authenticated,
+    Event,
+    Leg,
+    Offered,
+    Registered,
+    Released,
+    Signal,
+)
+from dapplehinge.iax2.registry import Registrar
+from dapplehinge.iax2.states import State
+from dapplehinge.proxy.directory import Directory
+from dapplehinge.proxy.port import Port, clock
+
+_CONTROL = int(FrameType.CONTROL)
+PASSED_ON = (Ie.CALLING_NUMBER, Ie.CALLING_NAME, Ie.CAPABILITY, Ie.FORMAT, Ie.LANGUAGE, Ie.CALLINGPRES)
+"""Elements of the caller's NEW that go on to the far end as they are."""
+
+BUDGET, TENANT = "dapplehinge-budget", "dapplehinge-tenant"
+"""Names in VARIABLE elements that a box sends with a call in transit."""
+
+LAST_WORDS = 1.0
+"""Seconds a closing box stays for the acknowledgements of what it ended."""
+
+
+def variables(elements: Elements) -> dict[str, str]:
+    pairs = (line.partition("=") for line in text(elements, Ie.VARIABLE).split("\n"))
+    return {name: value for name, sign, value in pairs if sign}
+
+
+class Legs:
+    """The legs of one call: its caller's, and that of each attempt that is not over."""
+
+    __slots__ = ("caller", "attempts", "tenant", "began")
+
+    def __init__(self, caller: Leg, tenant: int, began: float) -> None:
+        self.caller = caller
+        self.attempts: dict[int, Leg] = {}
+        self.tenant = tenant
+        self.began = began
+
+
+class Server:
+    def __init__(self, box: Box, sock: socket.socket, core: CallCore | None = None) -> None:
+        self.box = box
+        self.network = box.network
+        self.log = structlog.get_logger()
+        self.origins = Origins(box.origins)
+        self.core = core or CallCore(box.network, box.seed, clock())
+        self.engine = Engine(registrar=Registrar(box.credentials), dialplan=box.network.dial_plan.status)
+        self.calls: dict[int, Legs] = {}
+        self.finals: Counter[str] = Counter()
+        self._last_call = 0
+        self.port = Port(sock, self.engine, self.handle_events, lambda: self.core.next_due, self._tick)
+        self.directory: Directory | None = None
+        self._handlers: dict[type, Callable[[Event, float], None]] = {
+            Offered: self._offered,
+            Authenticated: self._authenticated,
+            Accepted: self._accepted,
+            Signal: self._signal,
+            Released: self._released,
+            Registered: self._registered,
+        }
+
+    # Life
+
+    def start(self) -> None:
+        if self.box.directory is not None:
+            self.directory = Directory(self.box.directory, self.network, self.listed, clock)
+            IOLoop.current().add_callback(self.directory.follow)
+        else:
+            entries = tuple(
+                api.SwitchEntry(switch, place, api.SwitchState.READY, self.network.exchanges[place].zone)
+                for place, switch in enumerate(self.box.switch_ids)
+            )
+            self.listed(api.SwitchList(api.ListKind.WHOLE, entries))
+        host, port = self.port.sock.getsockname()[:2]
+        self.log.info("box.started", box=self.box.name, listen=f"{host}:{port}")
+
+    async def drain(self) -> None:
+        """Take no new calls, let the others end by the limit, then end what is left."""
+        self.core.draining = True
+        self.log.info("box.draining", calls=len(self.calls), limit=self.box.drain_limit)
+        end = clock() + self.box.drain_limit
+        while self.calls and clock() < end:
+            await gen.sleep(0.05)
+        if self.calls:
+            self.log.warning("box.drain_limit", calls=len(self.calls))
+            self._carry(self.core.end_all(clock()))
+            self.port.flush()
+        for _ in range(int(LAST_WORDS / 0.05)):
+            if not self.engine.legs:
+                break
+            await gen.sleep(0.05)
+        if self.directory is not None:
+            self.directory.close()
+        self.port.close()
+        self.log.info("box.stopped", finals=dict(self.finals), counts=dict(self.engine.counts))
+
+    def listed(self, change: api.SwitchList) -> None:
+        for entry in change.entries:
+            name = self.network.exchanges[entry.exchange].name
+            self.log.info("switch.listed", exchange=name, switch=entry.switch, state=entry.state.name.lower())
+        self._carry(self.core.listed(change, clock()))
+        self.port.flush()
+
+    # From the engine
+
+    def handle_events(self, now: float) -> None:
+        while self.engine.events:
+            for event in self.engine.next_events():
+                handler = self._handlers.get(type(event))
+                if handler is None:
+                    continue
+                try:
+                    handler(event, now)
+                except Exception:  # one call's fault must not stop the loop for all
+                    self.finals["fault"] += 1
+                    self.log.exception("call.fault", event_kind=type(event).__name__)
+
+    def _tick(self, now: float) -> None:
+        self._carry(self.core.tick(now))
+
+    def _offered(self, event: Event, now: float) -> None:
+        leg = event.leg if isinstance(event, Offered) else None
+        if leg is None:
+            return
+        elements = leg.elements
+        context, username = text(elements, Ie.CALLED_CONTEXT), text(elements, Ie.USERNAME)
+        origin = self.origins.find(context, username, leg.addr[0])
+        if isinstance(origin, Refusal):
+            self.finals["barred"] += 1
+            self.log.info("call.barred", reason=origin.name.lower(), host=leg.addr[0], context=context)
+            self.engine.reject(leg, CauseCode.CALL_REJECTED, "not allowed from here", now)
+        elif origin.account is not None:
+            leg.origin = origin
+            self.engine.challenge(leg, self.box.credentials[origin.account], now)
+        else:
+            self._take(leg, origin, now)
+
+    def _authenticated(self, event: Event, now: float) -> None:
+        if isinstance(event, Authenticated) and isinstance(event.leg.origin, Origin):
+            self._take(event.leg, event.leg.origin, now)
+
+    def _take(self, leg: Leg, origin: Origin, now: float) -> None:
+        elements = leg.elements
+        called = text(elements, Ie.CALLED_NUMBER)
+        if not called:
+            self.engine.reject(leg, CauseCode.INVALID_NUMBER_FORMAT, "no number dialled", now)
+            return
+        if number(elements, Ie.CAPABILITY, FORMAT_ULAW) | number(elements, Ie.FORMAT) == 0:
+            self.engine.reject(leg, CauseCode.BEARER_NOT_AVAILABLE, "no media format offered", now)
+            return
+        self._last_call = call = (self._last_call + 1) & 0xFFFFFFFF
+        budget, tenant = None, origin.tenant
+        if origin.in_transit:
+            told = variables(elements)
+            try:
+                budget = float(told.get(BUDGET, "")) - self.network.answer_margin / 4
+                tenant = int(told.get(TENANT, tenant))
+            except ValueError:
+                budget = None  # a box that says nothing is taken by its class
+        leg.owner = (call, -1)
+        self.calls[call] = Legs(leg, tenant, now)
+        self.log.debug("call.offered", call=call, number=called, context=origin.context)
+        offer = Offer(called, origin.kind, tenant, origin.in_transit, budget)
+        self._carry(self.core.offered(call, offer, now))
+
+    def _accepted(self, event: Event, now: float) -> None:
+        if isinstance(event, Accepted) and event.leg.owner is not None:
+            self._carry(self.core.accepted(*event.leg.owner, now))
+
+    def _signal(self, event: Event, now: float) -> None:
+        if not isinstance(event, Signal) or event.leg.owner is None:
+            return
+        leg, subclass = event.leg, event.subclass
+        call, attempt = event.leg.owner
+        if event.kind == _CONTROL and attempt >= 0:
+            if subclass == Control.RINGING:
+                self._carry(self.core.rings(call, attempt, now))
+                return
+            if subclass == Control.ANSWER:
+                self._carry(self.core.answered(call, attempt, now))
+                return
+            if subclass in (Control.BUSY, Control.CONGESTION):
+                cause = CauseCode.USER_BUSY if subclass == Control.BUSY else CauseCode.SWITCH_CONGESTION
+                self.engine.hang_up(leg, CauseCode.NORMAL_CLEARING, "", now)
+                self._forget_leg(call, attempt)
+                self._carry(self.core.ended(call, attempt, cause, now))
+                return
+        other = self._other(call, attempt)
+        if other is not None:
+            self.engine.signal(other, event.kind, subclass, now, event.payload)
+
+    def _released(self, event: Event, now: float) -> None:
+        if not isinstance(event, Released) or event.leg.owner is None:
+            return
+        call, attempt = event.leg.owner
+        if attempt < 0:
+            self._over(call, "caller_gone", event.cause, now)
+            self._carry(self.core.caller_gone(call, now))
+            self.calls.pop(call, None)
+            return
+        self._forget_leg(call, attempt)
+        self.log.debug("attempt.ended", call=call, attempt=attempt, cause=event.cause, lost=event.lost)
+        ended = self.core.ended(call, attempt, event.cause, now, event.lost, event.invalid)
+        self._carry(ended)
+
+    def _registered(self, event: Event, now: float) -> None:
+        if isinstance(event, Registered):
+            self.log.info("account.registered", account=event.username, expiry=event.expiry)
+
+    # To the engine
+
+    def _carry(self, actions: list[Action]) -> None:
+        pending = list(actions)
+        while pending:
+            action = pending.pop(0)
+            now = clock()
+            if isinstance(action, Place):
+                pending += self._place(action, now)
+            elif isinstance(action, Drop):
+                leg = self._forget_leg(action.call, action.attempt)
+                if leg is not None:
+                    self.log.debug(
+                        "attempt.dropped", call=action.call, attempt=action.attempt, cause=action.cause
+                    )
+                    self.engine.hang_up(leg, action.cause, "", now)
+                    self.port.flush()  # the guard counts from here: the release leaves at once
+            elif isinstance(action, TellRinging):
+                self._tell(action.call, action.attempt, Control.RINGING, now)
+            elif isinstance(action, TellAnswered):
+                self._tell(action.call, action.attempt, Control.ANSWER, now)
+            elif isinstance(action, End):
+                self._end(action, now)
+
+    def _place(self, action: Place, now: float) -> list[Action]:
+        call, legs = action.call, self.calls.get(action.call)
+        if legs is None:
+            return []
+        exchange = self.network.exchanges[action.exchange]
+        first = legs.caller.elements
+        elements: Elements = {int(Ie.CALLED_NUMBER): text(first, Ie.CALLED_NUMBER)}
+        for kind in PASSED_ON:
+            if kind in first:
+                elements[int(kind)] = first[kind]
+        elements.setdefault(int(Ie.CAPABILITY), FORMAT_ULAW)
+        addr = exchange.switch
+        if action.tandem:
+            if exchange.proxy is None:
+                return self.core.ended(call, action.attempt, CauseCode.NO_CIRCUIT_AVAILABLE, now)
+            addr = exchange.proxy
+            elements[int(Ie.CALLED_CONTEXT)] = TRANSIT_CONTEXT
+            elements[int(Ie.VARIABLE)] = f"{BUDGET}={action.budget:.0f}\n{TENANT}={legs.tenant}"
+        leg = self.engine.dial(addr, elements, now)
+        if leg is None:
+            self.log.warning("call_numbers.none_free", call=call, attempt=action.attempt)
+            return self.core.ended(call, action.attempt, CauseCode.TEMPORARY_FAILURE, now)
+        leg.owner = (call, action.attempt)
+        legs.attempts[action.attempt] = leg
+        self.log.debug(
+            "attempt.placed", call=call, attempt=action.attempt, exchange=exchange.name, tandem=action.tandem
+        )
+        return []
+
+    def _tell(self, call: int, attempt: int, control: Control, now: float) -> None:
+        legs = self.calls.get(call)
+        far = legs.attempts.get(attempt) if legs else None
+        if legs is None or far is None:
+            return
+        caller = legs.caller
+        if caller.state is State.OFFERED:
+            self.engine.accept(caller, far.format or FORMAT_ULAW, now)
+        self.engine.signal(caller, _CONTROL, int(control), now)
+        if control is Control.ANSWER:
+            self.engine.bridge(caller, far)
+        took = round(now - legs.began, 1)
+        name = "call.rings" if control is Control.RINGING else "call.answered"
+        self.log.info(name, call=call, attempt=attempt, took=took)
+
+    def _end(self, action: End, now: float) -> None:
+        legs = self.calls.get(action.call)
+        if legs is None:
+            return
+        self._over(action.call, action.final.name.lower(), action.cause, now)
+        del self.calls[action.call]
+        caller = legs.caller
+        for leg in legs.attempts.values():
+            self.engine.hang_up(leg, CauseCode.NORMAL_CLEARING, "", now)
+        if action.cause == CauseCode.USER_BUSY and caller.state is State.OFFERED:
+            # a handset plays its engaged tone on BUSY; the HANGUP behind it carries the cause
+            self.engine.accept(caller, number(caller.elements, Ie.FORMAT) or FORMAT_ULAW, now)
+            self.engine.signal(caller, _CONTROL, int(Control.BUSY), now)
+        self.engine.end(caller, action.cause, action.text, now)
+
+    def _over(self, call: int, how: str, cause: int, now: float) -> None:
+        legs = self.calls.get(call)
+        if legs is None:
+            return
+        self.finals[how] += 1
+        attempt = max(legs.attempts, default=-1)
+        self.log.info(
+            "call.over", call=call, attempt=attempt, how=how, cause=int(cause), took=round(now - legs.began, 1)
+        )
+
+    def _forget_leg(self, call: int, attempt: int) -> Leg | None:
+        legs = self.calls.get(call)
+        return legs.attempts.pop(attempt, None) if legs else None
+
+    def _other(self, call: int, attempt: int) -> Leg | None:
+        """The leg across the box from this one, once the call stands."""
+        legs = self.calls.get(call)
+        if legs is None:
+            return None
+        if attempt >= 0:
+            return legs.caller
+        return next(iter(legs.attempts.values()), None)
--- a/tests/test_iax2_legs.py
+++ b/tests/test_iax2_legs.py
@@ -1,4 +1,4 @@
-"""The reliable exchange and the call states of two engines on a scripted clock and a wire that loses by plan."""
+"""The reliable exchange and the call states: two engines, a scripted clock, a wire that loses by plan."""
 
 import pytest
 
