--- a/dapplehinge/calls/causes.py
+++ b/dapplehinge/calls/causes.py
@@ -2,8 +2,8 @@
 
 What the module asks of an ended attempt: did it ever run (else it is sent again at once), is its switch at
 fault (then the rung shuts), must the release be awaited (time-out, cut, cancel). A refusal by REJECT says
-that nothing ran. A leg that had been accepted and ends before it stands was cut. An end without a word is a
-time-out.
+that nothing ran. A leg that was taken, by ACCEPT or without a word, and released before it stands was cut.
+An end without a word is a time-out.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 )
 
 
-def verdict(cause: int, tandem: bool, accepted: bool, lost: bool, invalid: bool) -> Verdict:
+def verdict(cause: int, tandem: bool, may_have_run: bool, lost: bool, invalid: bool) -> Verdict:
     """What the end of an attempt before it stood means to the module."""
     if lost:
         return Verdict(Outcome.TIMED_OUT, Cause.NONE)
@@ -44,7 +44,7 @@
     if cause in _OUT_OF_ORDER:
         if tandem:
             return Verdict(Outcome.REJECTED, Cause.TURNED_BACK)
-        return Verdict(Outcome.CUT if accepted else Outcome.UNREACHABLE, Cause.NONE)
+        return Verdict(Outcome.CUT if may_have_run else Outcome.UNREACHABLE, Cause.NONE)
     if cause in (Code.RECOVERY_ON_TIMER_EXPIRY, Code.NONE):
         return Verdict(Outcome.CUT, Cause.NONE)
     return Verdict(Outcome.REJECTED, Cause.NONE, concluded=True)
--- a/dapplehinge/calls/core.py
+++ b/dapplehinge/calls/core.py
@@ -63,6 +63,15 @@
     redialled: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How the leg of an attempt ended, beside its cause."""
+
+    lost: bool = False  # the far end fell silent
+    invalid: bool = False  # the far end knows the leg no more
+    rejected: bool = True  # refused before it was taken; False: taken, then released
+
+
 @dataclass(slots=True)
 class Call:
     number: str
@@ -186,7 +195,7 @@
         return self._done()
 
     def ended(
-        self, call: int, attempt: int, cause: int, now: float, lost: bool = False, invalid: bool = False
+        self, call: int, attempt: int, cause: int, now: float, how: Ended | None = None
     ) -> list[Action]:
         """The leg of an attempt ended by the far end, or by its silence."""
         self._begin(now)
@@ -198,7 +207,9 @@
             self.out.append(End(call, cause or NORMAL, "ended by the far end", Final.CLEARED))
             return self._done()
         tandem = entry.to != entry.destination
-        verdict = causes.verdict(cause, tandem, entry.accepted, lost, invalid)
+        how = how or Ended()
+        may_have_run = entry.accepted or not how.rejected
+        verdict = causes.verdict(cause, tandem, may_have_run, how.lost, how.invalid)
         if verdict.outcome is api.Outcome.LINE_BUSY:
             self.engaged[entry.number] = now
         self._attempt_over(call, entry, verdict)
--- a/dapplehinge/cli/main.py
+++ b/dapplehinge/cli/main.py
@@ -80,5 +80,65 @@
         fail([f"{file}: a switch's address can not be listened on: {fault.strerror}"])
 
 
+@main.command()
+@click.argument("scenario")
+@click.option("--json", "as_json", is_flag=True, help="print one JSON object")
+@click.option("--keep", type=click.Path(file_okay=False, path_type=Path), help="folder for trace and logs")
+def trial(scenario: str, as_json: bool, keep: Path | None) -> None:
+    """Play SCENARIO, a JSON5 file or the name of one that is part of the program, and judge it."""
+    import shutil
+    import tempfile
+
+    from rich.console import Console
+    from rich.progress import Progress
+
+    from dapplehinge.standins.scenario import known_scenarios, load_scenario, scenario_file
+    from dapplehinge.standins.trial import TrialError, play
+
+    path = scenario_file(scenario)
+    if not path.exists():
+        fail([f"{scenario}: no such scenario; known by name: {', '.join(known_scenarios())}"])
+    folder = keep or Path(tempfile.mkdtemp(prefix="dapplehinge-trial-"))
+    try:
+        with Progress(console=Console(stderr=True), transient=True) as progress:
+            task = progress.add_task(f"playing {path.stem}", total=1.0)
+            trace = play(load_scenario(path), folder, lambda done: progress.update(task, completed=done))
+        _judged(trace, as_json)
+    except ConfigError as fault:
+        fail(fault.problems)
+    except TrialError as fault:
+        fail([str(fault)], 1)
+    finally:
+        if keep is None:
+            shutil.rmtree(folder, ignore_errors=True)
+
+
+@main.command()
+@click.argument("trace", type=FILE)
+@click.option("--json", "as_json", is_flag=True, help="print one JSON object")
+def audit(trace: Path, as_json: bool) -> None:
+    """Judge the five rules from TRACE, the datagrams that a trial's wire saw."""
+    _judged(trace, as_json)
+
+
+def _judged(trace: Path, as_json: bool) -> None:
+    import msgspec
+    from rich.console import Console
+
+    from dapplehinge.audit.report import as_object, judge_file, show
+    from dapplehinge.audit.trace import TraceError
+
+    try:
+        judgement = judge_file(trace)
+    except TraceError as fault:
+        fail([str(fault)])
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(as_object(judgement))).decode())
+    else:
+        show(judgement, Console())
+    if judgement.broken:
+        sys.exit(1)
+
+
 if __name__ == "__main__":
     main()
--- a/dapplehinge/config/load.py
+++ b/dapplehinge/config/load.py
@@ -50,11 +50,11 @@
     try:
         part = BoxPart.model_validate(source.values)
     except ValidationError as fault:
-        raise ConfigError([_problem(source, error) for error in fault.errors()]) from None
+        raise ConfigError([problem(source, error) for error in fault.errors()]) from None
     return _Builder(source, part, folder).box()
 
 
-def _problem(source: Source, error: object) -> str:
+def problem(source: Source, error: object) -> str:
     assert isinstance(error, dict)
     path = tuple(part for part in error["loc"] if part != "[key]")
     message = str(error["msg"]).removeprefix("Value error, ")
--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -16,7 +16,7 @@
 
 from dapplehinge import interface as api
 from dapplehinge.calls.actions import Action, Drop, End, Place, TellAnswered, TellRinging
-from dapplehinge.calls.core import CallCore, Offer
+from dapplehinge.calls.core import CallCore, Ended, Offer
 from dapplehinge.calls.origin import Origin, Origins, Refusal
 from dapplehinge.config.load import TRANSIT_CONTEXT, Box
 from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
@@ -228,8 +228,8 @@
             return
         self._forget_leg(call, attempt)
         self.log.debug("attempt.ended", call=call, attempt=attempt, cause=event.cause, lost=event.lost)
-        ended = self.core.ended(call, attempt, event.cause, now, event.lost, event.invalid)
-        self._carry(ended)
+        how = Ended(event.lost, event.invalid, event.rejected)
+        self._carry(self.core.ended(call, attempt, event.cause, now, how))
 
     def _registered(self, event: Event, now: float) -> None:
         if isinstance(event, Registered):
@@ -324,9 +324,8 @@
             return
         self.finals[how] += 1
         attempt = max(legs.attempts, default=-1)
-        self.log.info(
-            "call.over", call=call, attempt=attempt, how=how, cause=int(cause), took=round(now - legs.began, 1)
-        )
+        took = round(now - legs.began, 1)
+        self.log.info("call.over", call=call, attempt=attempt, how=how, cause=int(cause), took=took)
 
     def _forget_leg(self, call: int, attempt: int) -> Leg | None:
         legs = self.calls.get(call)
--- a/dapplehinge/standins/switch.py
+++ b/dapplehinge/standins/switch.py
@@ -184,6 +184,9 @@
         for leg in list(self.standing.values()):
             if self.random.random() < part:
                 self._hang_up(leg, now)
+        for _, _, what, waiting in list(self.agenda):
+            if what == "ring" and waiting is not None and waiting.alive and self.random.random() < part:
+                self._hang_up(waiting, now)
 
     def _lose_circuits(self, now: float) -> None:
         for leg in list(self.standing.values()):
