--- /dev/null
+++ b/dapplehinge/bench/caller.py
@@ -0,0 +1,105 @@
+"""Callers at a steady rate as a process of their own: `python -m dapplehinge.bench.caller SPEC.json`.
+
+Set-up time counts from when a call was due to be dialled, so a generator that falls behind shows (no
+coordinated omission), to the first RINGING or ANSWER.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
+from dapplehinge.iax2.engine import Engine
+from dapplehinge.iax2.leg import Leg, Released, Signal
+from dapplehinge.proxy.port import Port, clock, open_socket
+
+_CONTROL, _ANSWER = int(FrameType.CONTROL), int(Control.ANSWER)
+
+
+class CallerSpec(msgspec.Struct, kw_only=True):
+    to: list[tuple[str, int]]  # dialled in turn
+    numbers: list[str]  # dialled in turn
+    rate: float
+    begin: float
+    span: float
+    warm_up: float = 1000.0  # ms at the start that are not counted
+
+
+class Result(msgspec.Struct, kw_only=True):
+    offered: int
+    stood: int
+    failed: int
+    histogram: str
+
+
+class Caller:
+    def __init__(self, spec: CallerSpec) -> None:
+        self.spec = spec
+        self.engine = Engine()
+        self.port = Port(open_socket(("127.0.0.1", 0)), self.engine, self.events, lambda: self.due, self.tick)
+        self.due = spec.begin
+        self.dialled: dict[int, float] = {}
+        self.offered = self.stood = self.failed = 0
+        self.histogram = HdrHistogram(1, 60_000_000, 3)
+        self.port.flush()
+
+    def tick(self, now: float) -> None:
+        spec = self.spec
+        while self.due <= now and self.due < spec.begin + spec.span:
+            turn = self.offered
+            host, port = spec.to[turn % len(spec.to)]
+            leg = self.engine.dial(
+                (host, port),
+                {
+                    Ie.CALLED_NUMBER: spec.numbers[turn % len(spec.numbers)],
+                    Ie.CALLING_NUMBER: "5",
+                    Ie.CAPABILITY: FORMAT_ULAW,
+                    Ie.FORMAT: FORMAT_ULAW,
+                },
+                now,
+            )
+            self.offered += 1
+            if leg is not None:
+                self.dialled[leg.number] = self.due
+            else:
+                self.failed += 1
+            self.due += 1000.0 / spec.rate
+        if self.due >= spec.begin + spec.span:
+            self.due = float("inf")
+
+    def events(self, now: float) -> None:
+        for event in self.engine.next_events():
+            if isinstance(event, Signal) and event.kind == _CONTROL:
+                due = self.dialled.pop(event.leg.number, None)
+                if due is not None:
+                    self.stood += 1
+                    if due >= self.spec.begin + self.spec.warm_up:
+                        self.histogram.record_value(max(1, int((now - due) * 1000)))
+                if event.subclass == _ANSWER:
+                    self._hang_up(event.leg, now)
+            elif isinstance(event, Released) and self.dialled.pop(event.leg.number, None) is not None:
+                self.failed += 1
+
+    def _hang_up(self, leg: Leg, now: float) -> None:
+        self.engine.hang_up(leg, CauseCode.NORMAL_CLEARING, "", now)
+
+
+async def _play(spec: CallerSpec) -> None:
+    caller = Caller(spec)
+    await asyncio.sleep(max(0.0, (spec.begin + spec.span + 1500.0 - clock()) / 1000.0))
+    result = Result(
+        offered=caller.offered,
+        stood=caller.stood,
+        failed=caller.failed + len(caller.dialled),
+        histogram=caller.histogram.encode().decode(),
+    )
+    sys.stdout.buffer.write(msgspec.json.encode(result) + b"\n")
+
+
+if __name__ == "__main__":
+    asyncio.run(_play(msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=CallerSpec)))
--- a/dapplehinge/cli/main.py
+++ b/dapplehinge/cli/main.py
@@ -121,6 +121,35 @@
     _judged(trace, as_json)
 
 
+@main.command()
+@click.option("--rate", "rates", multiple=True, type=float, default=(100.0, 520.0, 1000.0), show_default=True)
+@click.option("--span", type=float, default=5000.0, show_default=True, help="ms that each rate is offered")
+@click.option("--helpers", type=click.IntRange(1, 8), default=3, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="print one JSON object")
+def bench(rates: tuple[float, ...], span: float, helpers: int, as_json: bool) -> None:
+    """Whole calls a second through one box, beside direct calls and the socket floor in the same run."""
+    import msgspec
+    from rich.console import Console
+    from rich.table import Table
+
+    from dapplehinge.bench.calls import run as run_bench
+
+    found = run_bench(list(rates), span, helpers)
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
+        return
+    console = Console(width=120)
+    console.print(f"{found['machine']}; floor {found['floor_us']} us a datagram in and out")
+    table = Table()
+    columns = ("rate", "by", "stood", "failed", "p50", "p99")
+    columns += ("added_p50", "added_p99", "cpu_us_a_call", "floors")
+    for column in columns:
+        table.add_column(column.replace("_", " "), justify="right")
+    for row in found["rows"]:
+        table.add_row(*(str(row.get(column, "")) for column in columns))
+    console.print(table)
+
+
 def _judged(trace: Path, as_json: bool) -> None:
     import msgspec
     from rich.console import Console
