--- a/dapplehinge/config/load.py
+++ b/dapplehinge/config/load.py
@@ -30,6 +30,7 @@
     switch_ids: tuple[int, ...]  # of the exchanges, in their order, where no directory tells
     origins: tuple[Origin, ...]
     credentials: dict[str, Credentials]
+    own_credentials: tuple[Credentials | None, ...]  # the box's own at each exchange, in their order
     directory: Addr | None
     log: LogPart
     drain_limit: float
@@ -101,8 +102,30 @@
             self.wrong(path, f"{file} can not be read: {fault.strerror}")
             return None
 
+    def shared_secret(self, base: Path, inline: str | None, name: str | None) -> str | None:
+        if name is None:
+            return inline
+        if inline is not None:
+            self.wrong((*base, "secret_file"), "secret stands inline already; allowed is one of the two")
+        raw = self.secret((*base, "secret_file"), name)
+        return raw.decode("utf-8", "replace").strip() if raw else None
+
+    def own_credentials(self, name: str) -> Credentials | None:
+        """What the box answers a challenge of this exchange's switch or proxy with."""
+        exchange, base = self.part.exchanges[name], ("exchanges", name)
+        secret = self.shared_secret(base, exchange.secret, exchange.secret_file)
+        private = None
+        if exchange.private_key_file is not None:
+            private = self.secret((*base, "private_key_file"), exchange.private_key_file)
+        if exchange.username is None:
+            if secret is not None or private is not None:
+                self.wrong((*base, "username"), "a secret or key needs the name it belongs to")
+            return None
+        return Credentials(exchange.username, secret, private_pem=private)
+
     def origins(self) -> tuple[tuple[Origin, ...], dict[str, Credentials]]:
-        origins, credentials = [], {}
+        origins: list[Origin] = []
+        credentials: dict[str, Credentials] = {}
         for name, context in self.part.contexts.items():
             base: Path = ("contexts", name)
             if name == TRANSIT_CONTEXT:
@@ -117,17 +140,13 @@
             )
         for name, account in self.part.accounts.items():
             base = ("accounts", name)
-            secret, public = account.secret, None
-            if account.secret_file is not None:
-                raw = self.secret((*base, "secret_file"), account.secret_file)
-                secret = raw.decode("utf-8", "replace").strip() if raw else None
+            public = None
+            secret = self.shared_secret(base, account.secret, account.secret_file)
             if account.public_key_file is not None:
                 public = self.secret((*base, "public_key_file"), account.public_key_file)
             ways = (account.secret, account.secret_file, account.public_key_file)
             if not any(way is not None for way in ways):
                 self.wrong(base, "an account needs one of secret, secret_file, public_key_file")
-            if account.secret is not None and account.secret_file is not None:
-                self.wrong((*base, "secret_file"), "secret stands inline already; allowed is one of the two")
             credentials[name] = Credentials(name, secret, public)
             origins.append(
                 Origin(
@@ -214,6 +233,7 @@
             )
         except ValueError as fault:
             self.wrong(("rules",), str(fault))
+        own_credentials = tuple(self.own_credentials(name) for name in part.exchanges)
         if self.problems or settings is None:
             raise ConfigError(self.problems)
         network = Network(
@@ -236,6 +256,7 @@
             switch_ids=ids,
             origins=origins,
             credentials=credentials,
+            own_credentials=own_credentials,
             directory=split(part.directory) if part.directory else None,
             log=part.log,
             drain_limit=rules.drain_limit,
--- a/dapplehinge/config/schema.py
+++ b/dapplehinge/config/schema.py
@@ -49,6 +49,10 @@
     switch: Address
     proxy: Address | None = None
     switch_id: int | None = Field(default=None, ge=1)
+    username: Name | None = None  # who the box says it is there, and what it answers a challenge with
+    secret: str | None = Field(default=None, min_length=1)
+    secret_file: str | None = None
+    private_key_file: str | None = None
 
 
 class GroupPart(Part):
--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -277,7 +277,10 @@
             addr = exchange.proxy
             elements[int(Ie.CALLED_CONTEXT)] = TRANSIT_CONTEXT
             elements[int(Ie.VARIABLE)] = f"{BUDGET}={action.budget:.0f}\n{TENANT}={legs.tenant}"
-        leg = self.engine.dial(addr, elements, now)
+        own = self.box.own_credentials[action.exchange]
+        if own is not None:
+            elements[int(Ie.USERNAME)] = own.username
+        leg = self.engine.dial(addr, elements, now, own)
         if leg is None:
             self.log.warning("call_numbers.none_free", call=call, attempt=action.attempt)
             return self.core.ended(call, action.attempt, CauseCode.TEMPORARY_FAILURE, now)
--- /dev/null
+++ b/tests/test_live.py
@@ -0,0 +1,224 @@
+"""The running box on real sockets of loopback, and the trials."""
+
+import asyncio
+import json
+import random
+import socket
+
+import pytest
+from click.testing import CliRunner
+
+from dapplehinge.cli.main import main
+from dapplehinge.config.load import build
+from dapplehinge.config.source import Source
+from dapplehinge.iax2 import frames as fr
+from dapplehinge.iax2.codes import FORMAT_ULAW, Control, FrameType, Iax, Ie
+from dapplehinge.iax2.engine import Engine
+from dapplehinge.iax2.leg import Credentials, Released, Signal, Voice
+from dapplehinge.proxy.port import Port, clock, open_socket
+from dapplehinge.proxy.server import Server
+from dapplehinge.standins.scenario import load_scenario, scenario_file
+from dapplehinge.standins.switch import Fault, Switch, SwitchSpec
+
+HERE = ("127.0.0.1", 0)
+
+
+class Quay:
+    """A box, one switch and a handset on the running loop."""
+
+    def __init__(self, tmp_path, **faults):
+        sock = open_socket(HERE)
+        spec = SwitchSpec(name="hall", ring=20, faults=[Fault(**f) for f in faults.get("faults", [])])
+        self.switch = Switch(spec, sock, clock())
+        self.switch.port.flush()
+        host, port = sock.getsockname()
+        text = json.dumps(
+            {
+                "box": "quay",
+                "zones": {"loop": ["127.0.0.0/8"]},
+                "exchanges": {
+                    "quay": {"zone": "loop", "switch": "127.0.0.1:9"},
+                    "hall": {"zone": "loop", "switch": f"{host}:{port}"},
+                },
+                "trunk_groups": [{"to": "hall", "circuits": 5}],
+                "classes": [{"name": "plain", "target": 1000, "give_up": 1500}],
+                "contexts": {"open": {"class": "plain"}},
+                "accounts": {"ann": {"secret": "s", "context": "closed", "class": "plain"}},
+                "dial_plan": [{"prefix": "1", "exchange": "hall"}],
+                "number_length": {"least": 3, "most": 3},
+                "log": {"level": "error"},
+                "rules": {"drain_limit": 300},
+            }
+        )
+        box_sock = open_socket(HERE)
+        self.addr = box_sock.getsockname()
+        self.server = Server(build(Source("quay", text), tmp_path), box_sock)
+        self.server.start()
+        self.engine = Engine()
+        self.events = []
+        self.port = Port(open_socket(HERE), self.engine, self.gather)
+
+    def gather(self, now):
+        self.events += self.engine.next_events()
+
+    def dial(self, number="100", **more):
+        elements = {Ie.CALLED_NUMBER: number, Ie.CAPABILITY: FORMAT_ULAW, Ie.FORMAT: FORMAT_ULAW}
+        elements |= more.pop("elements", {})
+        leg = self.engine.dial(self.addr, elements, clock(), **more)
+        self.port.flush()
+        return leg
+
+    async def until(self, wanted):
+        """Wait for it without a bound of our own: what never comes fails the run as a whole."""
+        while not wanted():
+            await asyncio.sleep(0.005)
+
+    def heard(self, kind, subclass=None):
+        found = [event for event in self.events if isinstance(event, kind)]
+        return [event for event in found if subclass in (None, getattr(event, "subclass", None))]
+
+    def close(self):
+        self.port.close()
+        self.server.port.close()
+        self.switch.port.close()
+
+
+def live(tmp_path, play, **faults):
+    async def run():
+        quay = Quay(tmp_path, **faults)
+        try:
+            await asyncio.wait_for(play(quay), 30)
+        finally:
+            quay.close()
+
+    asyncio.run(run())
+
+
+def test_a_call_with_voice_to_the_hall_and_back(tmp_path):
+    async def play(quay):
+        leg = quay.dial()
+        await quay.until(lambda: quay.heard(Signal, Control.ANSWER))
+        assert [e.subclass for e in quay.heard(Signal)] == [Control.RINGING, Control.ANSWER]
+        for _ in range(3):
+            quay.engine.voice(leg, b"v" * 160, clock())
+            quay.port.flush()
+            await asyncio.sleep(0.01)
+        await quay.until(lambda: len(quay.heard(Voice)) == 3)
+        assert quay.server.core.ledger.free(1, clock()) == 4
+        quay.engine.hang_up(leg, 16, "", clock())
+        quay.port.flush()
+        await quay.until(lambda: not quay.switch.engine.legs and not quay.server.engine.legs)
+        assert not quay.server.calls and quay.server.core.ledger.free(1, clock()) == 5
+
+    live(tmp_path, play)
+
+
+@pytest.mark.parametrize(("number", "cause"), [("199", 17), ("404", 1), ("10", 1)])
+def test_engaged_and_wrong_numbers(tmp_path, number, cause):
+    async def play(quay):
+        quay.dial(number)
+        await quay.until(lambda: quay.heard(Released))
+        assert [e.cause for e in quay.heard(Released)] == [cause]
+        assert bool(quay.heard(Signal, Control.BUSY)) == (cause == 17)
+
+    live(tmp_path, play)
+
+
+def test_accounts_are_challenged_and_strangers_refused(tmp_path):
+    async def play(quay):
+        quay.dial(elements={Ie.USERNAME: "ann"}, credentials=Credentials("ann", "s"))
+        await quay.until(lambda: quay.heard(Signal, Control.ANSWER))
+        quay.dial(elements={Ie.USERNAME: "ann"}, credentials=Credentials("ann", "wrong"))
+        quay.dial(elements={Ie.USERNAME: "bob"}, credentials=Credentials("bob", "s"))
+        quay.dial(elements={Ie.CALLED_CONTEXT: "transit"})
+        await quay.until(lambda: len(quay.heard(Released)) == 3)
+        assert [e.cause for e in quay.heard(Released)] == [21, 21, 21]
+
+    live(tmp_path, play)
+
+
+def test_a_switch_that_takes_set_ups_and_answers_none(tmp_path):
+    async def play(quay):
+        legs = [quay.dial() for _ in range(3)]
+        await quay.until(lambda: len(quay.heard(Released)) == len(legs))
+        assert all(e.cause in (102, 42) for e in quay.heard(Released))
+        await quay.until(lambda: not quay.switch.engine.legs)  # the box released what it had out
+        assert not quay.server.calls and quay.server.core.ledger.free(1, clock()) == 5
+
+    live(tmp_path, play, faults=[{"kind": "hang", "at": 0.0, "span": 1e12}])
+
+
+def test_garbage_floods_and_strangers_reach_nothing(tmp_path):
+    async def play(quay):
+        chaos = random.Random(5)
+        quay.dial("198")
+        await quay.until(lambda: quay.heard(Signal, Control.RINGING))
+        (theirs,) = (leg for leg in quay.server.engine.legs.values() if not leg.outgoing)
+        stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        stranger.bind(HERE)
+        for n in range(300):
+            stranger.sendto(chaos.randbytes(chaos.randrange(1, 60)), quay.addr)
+            stranger.sendto(b"\x80" + chaos.randbytes(chaos.randrange(60)), quay.addr)
+            if n % 10 == 0:
+                stranger.sendto(chaos.randbytes(5000), quay.addr)
+                await asyncio.sleep(0.001)
+        number = theirs.exchange.dest
+        hang = fr.Full(number, theirs.number, 1, theirs.exchange.iseqno, 0, FrameType.IAX, Iax.HANGUP)
+        stranger.sendto(fr.write(hang), quay.addr)
+        stranger.sendto(fr.write(fr.Full(7, 0, 3, 0, 0, FrameType.IAX, Iax.POKE)), quay.addr)
+        stranger.setblocking(False)
+        pongs = []
+
+        def ponged():
+            while True:
+                try:
+                    pongs.append(fr.read(stranger.recv(9000)))
+                except BlockingIOError:
+                    return any(f.subclass == Iax.PONG and f.timestamp == 3 for f in pongs)
+
+        await quay.until(ponged)
+        stranger.close()
+        counts = quay.server.engine.counts
+        assert counts["garbage"] and counts["no_such_call"] and not quay.server.finals["fault"]
+        quay.dial("100")
+        await quay.until(lambda: quay.heard(Signal, Control.ANSWER))
+        assert theirs.alive
+
+    live(tmp_path, play)
+
+
+def test_drain_takes_no_new_calls_and_ends_the_rest_by_its_limit(tmp_path):
+    async def play(quay):
+        quay.dial()
+        await quay.until(lambda: quay.heard(Signal, Control.ANSWER))
+        draining = asyncio.ensure_future(quay.server.drain())
+        await asyncio.sleep(0)
+        quay.dial()
+        await quay.until(lambda: len(quay.heard(Released)) == 2)
+        assert sorted(e.cause for e in quay.heard(Released)) == [41, 42]
+        await draining
+        assert not quay.server.calls and not quay.switch.engine.legs
+        quay.server.port.close = lambda: None
+
+    live(tmp_path, play)
+
+
+def trial(*arguments):
+    result = CliRunner().invoke(main, ["trial", "--json", *arguments])
+    return result.exit_code, json.loads(result.stdout)
+
+
+def test_a_box_told_to_send_again_at_once_is_found_guilty():
+    code, found = trial("resend-at-once")
+    assert code == 1 and found["rules"]["release_awaited"]["broken"] > 0
+
+
+def test_the_bad_day_keeps_all_rules():
+    faults = load_scenario(scenario_file("bad-day")).faults
+    most = max(sum(f.at <= at < f.at + f.span for f in faults) for at in range(0, 24_000, 100))
+    assert most >= 5
+    code, found = trial("bad-day")
+    assert {name: rule["broken"] for name, rule in found["rules"].items()} == dict.fromkeys(found["rules"], 0)
+    assert code == 0 and found["unanswered"] == 0
+    assert all(rule["checked"] > 0 for rule in found["rules"].values())
+    assert sum(c["in_time"] for c in found["calls"].values()) > 500
