Limits in front of the module: source network, tenant, calls in hand, and the box's own core

Set-ups are now asked of four limits before a leg is made, and under pressure the least worthy are refused first. The price: some lot-price calls refused that a full core could just have carried.

--- a/dapplehinge/bench/caller.py
+++ b/dapplehinge/bench/caller.py
@@ -28,9 +28,20 @@
     begin: float
     span: float
     warm_up: float = 1000.0  # ms at the start that are not counted
+    targets: list[float]  # of the classes
+
+
+class KindResult(msgspec.Struct):
+    """Calls of one class: the second digit of their numbers."""
+
+    offered: int = 0
+    in_time: int = 0
+    stood: int = 0
+    refused: int = 0
 
 
 class Result(msgspec.Struct, kw_only=True):
+    kinds: dict[str, KindResult]
     offered: int
     stood: int
     failed: int
@@ -43,7 +54,8 @@
         self.engine = Engine()
         self.port = Port(open_socket(("127.0.0.1", 0)), self.engine, self.events, lambda: self.due, self.tick)
         self.due = spec.begin
-        self.dialled: dict[int, float] = {}
+        self.dialled: dict[int, tuple[float, str]] = {}
+        self.kinds: dict[str, KindResult] = {}
         self.offered = self.stood = self.failed = 0
         self.histogram = HdrHistogram(1, 60_000_000, 3)
         self.port.flush()
@@ -52,11 +64,13 @@
         spec = self.spec
         while self.due <= now and self.due < spec.begin + spec.span:
             turn = self.offered
+            number = spec.numbers[turn % len(spec.numbers)]
+            kind = number[1]
             host, port = spec.to[turn % len(spec.to)]
             leg = self.engine.dial(
                 (host, port),
                 {
-                    Ie.CALLED_NUMBER: spec.numbers[turn % len(spec.numbers)],
+                    Ie.CALLED_NUMBER: number,
                     Ie.CALLING_NUMBER: "5",
                     Ie.CAPABILITY: FORMAT_ULAW,
                     Ie.FORMAT: FORMAT_ULAW,
@@ -64,8 +78,10 @@
                 now,
             )
             self.offered += 1
+            if self.counted(self.due):
+                self.kinds.setdefault(kind, KindResult()).offered += 1
             if leg is not None:
-                self.dialled[leg.number] = self.due
+                self.dialled[leg.number] = (self.due, kind)
             else:
                 self.failed += 1
             self.due += 1000.0 / spec.rate
@@ -75,15 +91,25 @@
     def events(self, now: float) -> None:
         for event in self.engine.next_events():
             if isinstance(event, Signal) and event.kind == _CONTROL:
-                due = self.dialled.pop(event.leg.number, None)
-                if due is not None:
+                found = self.dialled.pop(event.leg.number, None)
+                if found is not None:
+                    due, kind = found
                     self.stood += 1
-                    if due >= self.spec.begin + self.spec.warm_up:
+                    if self.counted(due):
                         self.histogram.record_value(max(1, int((now - due) * 1000)))
+                        self.kinds[kind].stood += 1
+                        self.kinds[kind].in_time += now - due <= self.spec.targets[int(kind)]
                 if event.subclass == _ANSWER:
                     self._hang_up(event.leg, now)
-            elif isinstance(event, Released) and self.dialled.pop(event.leg.number, None) is not None:
-                self.failed += 1
+            elif isinstance(event, Released):
+                found = self.dialled.pop(event.leg.number, None)
+                if found is not None:
+                    self.failed += 1
+                    if self.counted(found[0]) and event.cause == CauseCode.SWITCH_CONGESTION:
+                        self.kinds[found[1]].refused += 1
+
+    def counted(self, due: float) -> bool:
+        return due >= self.spec.begin + self.spec.warm_up
 
     def _hang_up(self, leg: Leg, now: float) -> None:
         self.engine.hang_up(leg, CauseCode.NORMAL_CLEARING, "", now)
@@ -93,6 +119,7 @@
     caller = Caller(spec)
     await asyncio.sleep(max(0.0, (spec.begin + spec.span + 1500.0 - clock()) / 1000.0))
     result = Result(
+        kinds=caller.kinds,
         offered=caller.offered,
         stood=caller.stood,
         failed=caller.failed + len(caller.dialled),
--- a/dapplehinge/bench/calls.py
+++ b/dapplehinge/bench/calls.py
@@ -67,7 +67,13 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def _box(folder: Path, switches: list[tuple[str, int]]) -> Path:
+CLASSES = (("lot-price", 1.0, 2000.0), ("bid-confirm", 5.0, 1200.0))
+"""Name, worth and target in ms of the classes offered; the second digit of a number is its class."""
+
+BIDS_ONE_IN = 20
+
+
+def _box(folder: Path, switches: list[tuple[str, int]], limited: bool) -> Path:
     names = [f"hall{n}" for n in range(len(switches))]
     exchanges = {
         name: {"zone": "loop", "switch": f"{host}:{port}"}
@@ -82,10 +88,21 @@
                 "zones": {"loop": ["127.0.0.0/8"]},
                 "exchanges": {"quay": {"zone": "loop", "switch": "127.0.0.1:9"}} | exchanges,
                 "trunk_groups": [{"to": name, "circuits": 5000} for name in names],
-                "classes": [{"name": "plain", "target": 2000, "give_up": 9000}],
-                "tenants": [{"name": "all", "quota": 1000}],
-                "contexts": {"open": {"class": "plain", "tenant": "all"}},
-                "dial_plan": [{"prefix": str(n + 1), "exchange": name} for n, name in enumerate(names)],
+                "classes": [
+                    {"name": name, "target": target, "give_up": 4 * target, "worth": worth}
+                    for name, worth, target in CLASSES
+                ],
+                "tenants": [{"name": "all", "quota": 100_000}],
+                "contexts": {"open": {"class": "lot-price", "tenant": "all"}},
+                "dial_plan": [
+                    {"prefix": f"{n + 1}{k}", "exchange": name, "class": kind[0]}
+                    for n, name in enumerate(names)
+                    for k, kind in enumerate(CLASSES)
+                ],
+                "limits": {
+                    "enabled": limited,
+                    "default": {"network": "0.0.0.0/0", "set_ups": 1e5, "burst": 1e5, "calls": 30_000},
+                },
                 "log": {"level": "warning", "format": "json"},
             }
         )
@@ -100,10 +117,21 @@
     return {f"p{p:g}": whole.get_value_at_percentile(p) / 1000 for p in (50, 99)}
 
 
+def _by_class(results: list[Result]) -> dict[str, dict[str, int]]:
+    found: dict[str, dict[str, int]] = {}
+    for index, (name, _, _) in enumerate(CLASSES):
+        kinds = [result.kinds[str(index)] for result in results if str(index) in result.kinds]
+        found[name] = {
+            field: sum(getattr(kind, field) for kind in kinds)
+            for field in ("offered", "in_time", "stood", "refused")
+        }
+    return found
+
+
 class Bench:
     """Stand-in switches and callers in `helpers` processes each, one box; all end with `close`."""
 
-    def __init__(self, folder: Path, helpers: int) -> None:
+    def __init__(self, folder: Path, helpers: int, limited: bool = True) -> None:
         self.folder = folder
         self.helpers = helpers
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -118,7 +146,7 @@
             self._start(arguments, sock)
         sock = open_socket(("127.0.0.1", 0))
         self.box = sock.getsockname()
-        file = _box(folder, self.switches)
+        file = _box(folder, self.switches, limited)
         command = ["-m", "dapplehinge.cli.main", "run", str(file), "--fd", str(sock.fileno())]
         self.box_process = self._start(command, sock)
         time.sleep(1.5)
@@ -135,10 +163,13 @@
         """Offer `rate` calls a second for `span` ms, to the switches themselves or to the box."""
         begin = clock() + 1000.0
         callers = []
+        halls = [str(m + 1) for m in range(self.helpers)]
+        numbers = [f"{hall}{int(turn == 0)}0" for turn in range(BIDS_ONE_IN) for hall in halls]
         for n in range(self.helpers):
             spec = CallerSpec(
+                targets=[target for _, _, target in CLASSES],
                 to=self.switches if direct else [self.box],
-                numbers=[f"{m + 1}00" for m in range(self.helpers)],
+                numbers=numbers,
                 rate=rate / self.helpers,
                 begin=begin + n,
                 span=span,
@@ -161,6 +192,7 @@
             "stood": stood,
             "failed": sum(result.failed for result in results),
             **_percentiles(results),
+            "classes": _by_class(results),
         }
         if not direct and stood:
             row["cpu_us_a_call"] = round(1e6 * spent / stood, 1)
@@ -198,3 +230,37 @@
         "floor_us_a_call": round(PAIRS * floor, 1),
         "rows": rows,
     }
+
+
+def overload(rates: list[float], span: float, helpers: int) -> list[dict[str, Any]]:
+    """Each rate through a box with limits and through one without, in one run; a row a rate and box."""
+    rows = []
+    for limited in (True, False):
+        with tempfile.TemporaryDirectory(prefix="dapplehinge-bench-") as name:
+            bench = Bench(Path(name), helpers, limited)
+            try:
+                for rate in rates:
+                    rows.append({"limited": limited} | bench.step(rate, span, direct=False))
+            finally:
+                bench.close()
+    return rows
+
+
+def plot_overload(rows: list[dict[str, Any]], file: Path) -> None:
+    """Part of each class that stood in time against the rate offered, with and without limits."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(7, 4.2), layout="constrained")
+    for limited, style in ((True, "-"), (False, "--")):
+        for (name, _, _), colour, width in zip(CLASSES, ("tab:blue", "tab:red"), (4.0, 1.5), strict=True):
+            points = [(row["rate"], row["classes"][name]) for row in rows if row["limited"] is limited]
+            parts = [100.0 * kind["in_time"] / max(1, kind["offered"]) for _, kind in points]
+            label = f"{name}, {'with' if limited else 'without'} limits"
+            axes.plot([rate for rate, _ in points], parts, style, color=colour, lw=width, marker="o", label=label)
+    axes.set(xlabel="calls offered a second (loopback)", ylabel="stood in time, % of offered", ylim=(-3, 103))
+    axes.grid(alpha=0.3)
+    axes.legend()
+    figure.savefig(file, dpi=110)
--- a/dapplehinge/cli/main.py
+++ b/dapplehinge/cli/main.py
@@ -125,15 +125,27 @@
 @click.option("--rate", "rates", multiple=True, type=float, default=(100.0, 520.0, 1000.0), show_default=True)
 @click.option("--span", type=float, default=5000.0, show_default=True, help="ms that each rate is offered")
 @click.option("--helpers", type=click.IntRange(1, 8), default=3, show_default=True)
+@click.option("--limits", "with_limits", is_flag=True, help="compare a box with limits and one without")
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="PNG of the comparison")
 @click.option("--json", "as_json", is_flag=True, help="print one JSON object")
-def bench(rates: tuple[float, ...], span: float, helpers: int, as_json: bool) -> None:
+def bench(
+    rates: tuple[float, ...], span: float, helpers: int, with_limits: bool, plot: Path | None, as_json: bool
+) -> None:
     """Whole calls a second through one box, beside direct calls and the socket floor in the same run."""
     import msgspec
     from rich.console import Console
     from rich.table import Table
 
+    from dapplehinge.bench.calls import overload, plot_overload
     from dapplehinge.bench.calls import run as run_bench
 
+    if with_limits:
+        rows = overload(list(rates), span, helpers)
+        if plot is not None:
+            plot_overload(rows, plot)
+        click.echo(msgspec.json.format(msgspec.json.encode({"rows": rows})).decode())
+        return
+
     found = run_bench(list(rates), span, helpers)
     if as_json:
         click.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
--- a/dapplehinge/config/load.py
+++ b/dapplehinge/config/load.py
@@ -12,7 +12,7 @@
 from dapplehinge.calls.dialplan import Destination, DialPlan
 from dapplehinge.calls.network import Addr, Exchange, KindOfCall, Network, TrunkGroup
 from dapplehinge.calls.origin import Origin
-from dapplehinge.config.schema import BoxPart, LogPart
+from dapplehinge.config.schema import BoxPart, LimitsPart, LogPart
 from dapplehinge.config.source import ConfigError, Path, Source
 from dapplehinge.iax2.leg import Credentials
 
@@ -31,6 +31,7 @@
     origins: tuple[Origin, ...]
     credentials: dict[str, Credentials]
     own_credentials: tuple[Credentials | None, ...]  # the box's own at each exchange, in their order
+    limits: LimitsPart
     directory: Addr | None
     log: LogPart
     drain_limit: float
@@ -206,6 +207,12 @@
             if group.to == part.box:
                 self.wrong(path, f"a group leads to another exchange, found the own one, {group.to!r}")
             groups[to] = TrunkGroup(to, group.circuits)
+        seen = set()
+        for index, each in enumerate(part.limits.sources):
+            if each.network in seen:
+                path = ("limits", "sources", index, "network")
+                self.wrong(path, f"this network stands twice, found {each.network!r}")
+            seen.add(each.network)
         origins, credentials = self.origins()
         plan = self.dial_plan()
         with_proxy = [index for index, each in enumerate(exchanges) if each.proxy or index == own]
@@ -257,6 +264,7 @@
             origins=origins,
             credentials=credentials,
             own_credentials=own_credentials,
+            limits=part.limits,
             directory=split(part.directory) if part.directory else None,
             log=part.log,
             drain_limit=rules.drain_limit,
--- a/dapplehinge/config/schema.py
+++ b/dapplehinge/config/schema.py
@@ -115,6 +115,23 @@
     drain_limit: Span = 30_000.0
 
 
+class SourcePart(Part):
+    network: IpNetwork
+    set_ups: float = Field(default=1000.0, gt=0, description="a second")
+    burst: float = Field(default=2000.0, ge=1)
+    calls: int = Field(default=5000, ge=1, description="at once")
+    each_host: bool = True
+
+
+class LimitsPart(Part):
+    enabled: bool = True
+    busy_target: float = Field(default=0.78, gt=0.1, lt=1)
+    in_hand: int = Field(default=2000, ge=1, description="calls taken that do not stand yet")
+    tenant_most: float = Field(default=5.0, ge=1, description="times its part of the quota")
+    default: SourcePart = SourcePart(network="0.0.0.0/0")
+    sources: list[SourcePart] = []
+
+
 class LogPart(Part):
     format: Literal["console", "json"] = "console"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -134,6 +151,7 @@
     dial_plan: list[DialPart] = Field(min_length=1)
     number_length: LengthPart = LengthPart()
     rules: RulesPart = RulesPart()
+    limits: LimitsPart = LimitsPart()
     directory: Address | None = None
     log: LogPart = LogPart()
     seed: int = 1
--- a/dapplehinge/iax2/engine.py
+++ b/dapplehinge/iax2/engine.py
@@ -89,11 +89,13 @@
         bounds: Bounds | None = None,
         registrar: Registrar | None = None,
         dialplan: Callable[[str], int] | None = None,
+        admit: Callable[[Elements, Addr, float], tuple[int, str] | None] | None = None,
     ) -> None:
         self.timing = timing or Timing()
         self.bounds = bounds or Bounds()
         self.registrar = registrar
         self.dialplan = dialplan  # number -> DPSTATUS bits, section 8.6.20
+        self.admit = admit  # asked of each NEW before a leg is made: None, or cause and text of its REJECT
         self.numbers = CallNumbers(self.bounds.quarantine)
         self.legs: dict[int, Leg] = {}
         self.by_peer: dict[tuple[Addr, int], Leg] = {}
@@ -359,6 +361,12 @@
             reason: Elements = {Ie.CAUSE: str(fault)[:100], Ie.CAUSECODE: int(CauseCode.PROTOCOL_ERROR)}
             self._answer_plain(frame, addr, Iax.REJECT, write_elements(reason))
             return
+        if self.admit is not None and frame.subclass == Iax.NEW:
+            refused = self.admit(elements, addr, now)
+            if refused is not None:
+                self.counts["not_admitted"] += 1
+                self._answer_plain(frame, addr, Iax.REJECT, _cause_elements(*refused))
+                return
         host = addr[0]
         full = len(self.legs) >= self.bounds.legs or self.opening[host] >= self.bounds.opening_per_host
         number_ = None if full else self._allocate(now)
--- a/dapplehinge/proxy/port.py
+++ b/dapplehinge/proxy/port.py
@@ -61,13 +61,14 @@
         self.own_timer = own_timer
         self.loop = IOLoop.current()
         self.unsent = 0
+        self.full_batches = 0  # times that datagrams may have been left waiting
         self._armed = inf
         self._handle: object | None = None
         self.loop.add_handler(sock, self._readable, IOLoop.READ)
 
     def _readable(self, fd: object, events: int) -> None:
         engine, receive, handle = self.engine, self.sock.recvfrom, self.handle_events
-        for _ in range(BATCH):
+        for count in range(BATCH):
             try:
                 data, addr = receive(MOST_BYTES + 1)
             except BlockingIOError:
@@ -78,6 +79,8 @@
             engine.receive_datagram(data, addr[:2], now)
             if engine.events:
                 handle(now)
+            if count == BATCH - 1:
+                self.full_batches += 1
         self.flush()
 
     def flush(self) -> None:
--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -7,23 +7,26 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections import Counter
 from collections.abc import Callable
 
 import structlog
 from tornado import gen
-from tornado.ioloop import IOLoop
+from tornado.ioloop import IOLoop, PeriodicCallback
 
 from dapplehinge import interface as api
 from dapplehinge.calls.actions import Action, Drop, End, Place, TellAnswered, TellRinging
 from dapplehinge.calls.core import CallCore, Ended, Offer
 from dapplehinge.calls.origin import Origin, Origins, Refusal
 from dapplehinge.config.load import TRANSIT_CONTEXT, Box
+from dapplehinge.config.schema import SourcePart
 from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.elements import Elements, number, text
 from dapplehinge.iax2.engine import Engine
 from dapplehinge.iax2.leg import (
     Accepted,
+    Addr,
     Authenticated,
     Event,
     Leg,
@@ -34,6 +37,10 @@
 )
 from dapplehinge.iax2.registry import Registrar
 from dapplehinge.iax2.states import State
+from dapplehinge.limits.gate import Gate, Request
+from dapplehinge.limits.pressure import Pressure
+from dapplehinge.limits.sources import SourceRule, Sources
+from dapplehinge.limits.tenants import Tenants
 from dapplehinge.proxy.directory import Directory
 from dapplehinge.proxy.port import Port, clock
 
@@ -53,16 +60,36 @@
     return {name: value for name, sign, value in pairs if sign}
 
 
+MEASURE_EACH = 50.0
+"""ms between two looks at how busy the box is."""
+
+
+def build_gate(box: Box) -> Gate:
+    limits, settings = box.limits, box.network.settings
+
+    def rule(part: SourcePart) -> SourceRule:
+        return SourceRule(part.network, part.set_ups, part.burst, part.calls, part.each_host)
+
+    return Gate(
+        Sources(tuple(rule(part) for part in limits.sources), rule(limits.default)),
+        Tenants(settings.tenant_quotas, settings.proxies, limits.tenant_most),
+        Pressure(limits.busy_target),
+        limits.in_hand,
+        settings.over_share_worth,
+    )
+
+
 class Legs:
     """The legs of one call: its caller's, and that of each attempt that is not over."""
 
-    __slots__ = ("caller", "attempts", "tenant", "began")
+    __slots__ = ("caller", "attempts", "tenant", "began", "in_hand")
 
     def __init__(self, caller: Leg, tenant: int, began: float) -> None:
         self.caller = caller
         self.attempts: dict[int, Leg] = {}
         self.tenant = tenant
         self.began = began
+        self.in_hand = True  # it does not stand yet
 
 
 class Server:
@@ -72,7 +99,13 @@
         self.log = structlog.get_logger().bind()  # bound once: the lazy proxy costs at each event
         self.origins = Origins(box.origins)
         self.core = core or CallCore(box.network, box.seed, clock())
-        self.engine = Engine(registrar=Registrar(box.credentials), dialplan=box.network.dial_plan.status)
+        self.gate = build_gate(box)
+        self.engine = Engine(
+            registrar=Registrar(box.credentials),
+            dialplan=box.network.dial_plan.status,
+            admit=self._admit if box.limits.enabled else None,
+        )
+        self._measured = (clock(), time.process_time(), 0)
         self.calls: dict[int, Legs] = {}
         self.finals: Counter[str] = Counter()
         self._last_call = 0
@@ -99,6 +132,8 @@
                 for place, switch in enumerate(self.box.switch_ids)
             )
             self.listed(api.SwitchList(api.ListKind.WHOLE, entries))
+        self._measuring = PeriodicCallback(self._measure, MEASURE_EACH)
+        self._measuring.start()
         host, port = self.port.sock.getsockname()[:2]
         self.log.info("box.started", box=self.box.name, listen=f"{host}:{port}")
 
@@ -119,8 +154,14 @@
             await gen.sleep(0.05)
         if self.directory is not None:
             self.directory.close()
+        self._measuring.stop()
         self.port.close()
-        self.log.info("box.stopped", finals=dict(self.finals), counts=dict(self.engine.counts))
+        self.log.info(
+            "box.stopped",
+            finals=dict(self.finals),
+            counts=dict(self.engine.counts),
+            refused_by_limit=dict(self.gate.counts),
+        )
 
     def listed(self, change: api.SwitchList) -> None:
         for entry in change.entries:
@@ -129,6 +170,36 @@
         self._carry(self.core.listed(change, clock()))
         self.port.flush()
 
+    # Limits
+
+    def _measure(self) -> None:
+        """Tell the gate how busy the loop's core was, and whether datagrams were left waiting."""
+        (wall, cpu, full), now, used = self._measured, clock(), time.process_time()
+        self._measured = (now, used, self.port.full_batches)
+        busy = 1000.0 * (used - cpu) / max(1.0, now - wall)
+        self.gate.pressure.measured(busy, self.port.full_batches > full)
+
+    def _admit(self, elements: Elements, addr: Addr, now: float) -> tuple[int, str] | None:
+        """Asked by the engine of each NEW, before it makes a leg of it."""
+        context, username = text(elements, Ie.CALLED_CONTEXT), text(elements, Ie.USERNAME)
+        origin = self.origins.find(context, username, addr[0])
+        if isinstance(origin, Refusal) or origin.account is not None:
+            refused = self.gate.ask_source(addr[0], now)
+        else:
+            refused = self.gate.ask(self._request(elements, addr, origin), now)
+        return (refused.cause, refused.text) if refused is not None else None
+
+    def _request(self, elements: Elements, addr: Addr, origin: Origin) -> Request:
+        found = self.network.dial_plan.find(text(elements, Ie.CALLED_NUMBER))
+        kind = origin.kind if found is None or found.kind is None else found.kind
+        worth = self.network.settings.classes[kind].worth
+        return Request(addr[0], origin.tenant, worth, origin.in_transit)
+
+    def _stands_or_over(self, legs: Legs) -> None:
+        if legs.in_hand:
+            legs.in_hand = False
+            self.gate.stands()
+
     # From the engine
 
     def handle_events(self, now: float) -> None:
@@ -165,7 +236,13 @@
 
     def _authenticated(self, event: Event, now: float) -> None:
         if isinstance(event, Authenticated) and isinstance(event.leg.origin, Origin):
-            self._take(event.leg, event.leg.origin, now)
+            leg, origin = event.leg, event.leg.origin
+            if self.box.limits.enabled:
+                refused = self.gate.ask_rest(self._request(leg.elements, leg.addr, origin), now)
+                if refused is not None:
+                    self.engine.reject(leg, refused.cause, refused.text, now)
+                    return
+            self._take(leg, origin, now)
 
     def _take(self, leg: Leg, origin: Origin, now: float) -> None:
         elements = leg.elements
@@ -187,6 +264,7 @@
                 budget = None  # a box that says nothing is taken by its class
         leg.owner = (call, -1)
         self.calls[call] = Legs(leg, tenant, now)
+        self.gate.began(leg.addr[0])
         self.log.debug("call.offered", call=call, number=called, context=origin.context)
         offer = Offer(called, origin.kind, tenant, origin.in_transit, budget)
         self._carry(self.core.offered(call, offer, now))
@@ -296,6 +374,7 @@
         far = legs.attempts.get(attempt) if legs else None
         if legs is None or far is None:
             return
+        self._stands_or_over(legs)
         caller = legs.caller
         if caller.state is State.OFFERED:
             self.engine.accept(caller, far.format or FORMAT_ULAW, now)
@@ -326,6 +405,8 @@
         if legs is None:
             return
         self.finals[how] += 1
+        self._stands_or_over(legs)
+        self.gate.ended(legs.caller.addr[0])
         attempt = max(legs.attempts, default=-1)
         took = round(now - legs.began, 1)
         self.log.info("call.over", call=call, attempt=attempt, how=how, cause=int(cause), took=took)
