--- a/dapplehinge/config/load.py
+++ b/dapplehinge/config/load.py
@@ -15,6 +15,7 @@
 from dapplehinge.config.schema import BoxPart, LimitsPart, LogPart
 from dapplehinge.config.source import ConfigError, Path, Source
 from dapplehinge.iax2.leg import Credentials
+from dapplehinge.iax2.tokens import Policy
 
 TRANSIT_CONTEXT = "transit"
 """The context of calls that other boxes send in transit."""
@@ -31,6 +32,7 @@
     origins: tuple[Origin, ...]
     credentials: dict[str, Credentials]
     own_credentials: tuple[Credentials | None, ...]  # the box's own at each exchange, in their order
+    call_tokens: Policy
     limits: LimitsPart
     directory: Addr | None
     log: LogPart
@@ -264,6 +266,7 @@
             origins=origins,
             credentials=credentials,
             own_credentials=own_credentials,
+            call_tokens=Policy[part.call_tokens.upper()],
             limits=part.limits,
             directory=split(part.directory) if part.directory else None,
             log=part.log,
--- a/dapplehinge/config/schema.py
+++ b/dapplehinge/config/schema.py
@@ -151,6 +151,7 @@
     dial_plan: list[DialPart] = Field(min_length=1)
     number_length: LengthPart = LengthPart()
     rules: RulesPart = RulesPart()
+    call_tokens: Literal["off", "offered", "required"] = "offered"
     limits: LimitsPart = LimitsPart()
     directory: Address | None = None
     log: LogPart = LogPart()
--- a/dapplehinge/iax2/engine.py
+++ b/dapplehinge/iax2/engine.py
@@ -44,6 +44,7 @@
 from dapplehinge.iax2.registry import Challenge, Deny, Grant, Registrar
 from dapplehinge.iax2.reliable import Arrival, Exchange, Timing
 from dapplehinge.iax2.states import LIVE, OPENING, RECEIVED, SENT, State
+from dapplehinge.iax2.tokens import Policy, Ruling, Tokens
 
 _IAX, _CONTROL, _VOICE = int(FrameType.IAX), int(FrameType.CONTROL), int(FrameType.VOICE)
 _PASSED_ON = frozenset(
@@ -90,12 +91,14 @@
         registrar: Registrar | None = None,
         dialplan: Callable[[str], int] | None = None,
         admit: Callable[[Elements, Addr, float], tuple[int, str] | None] | None = None,
+        tokens: Tokens | None = None,
     ) -> None:
         self.timing = timing or Timing()
         self.bounds = bounds or Bounds()
         self.registrar = registrar
         self.dialplan = dialplan  # number -> DPSTATUS bits, section 8.6.20
         self.admit = admit  # asked of each NEW before a leg is made: None, or cause and text of its REJECT
+        self.tokens = tokens or Tokens(Policy.OFF)
         self.numbers = CallNumbers(self.bounds.quarantine)
         self.legs: dict[int, Leg] = {}
         self.by_peer: dict[tuple[Addr, int], Leg] = {}
@@ -288,6 +291,9 @@
             self.counts["inval_received"] += 1
             self._release(leg, Released(leg, CauseCode.INVALID_CALL_REFERENCE, "INVAL", invalid=True), now)
             return
+        if frame.kind == _IAX and frame.subclass == Iax.CALLTOKEN and leg.outgoing and not exchange.dest:
+            self._token_given(leg, frame, now)
+            return
         arrival = exchange.arrived(frame, now)
         if arrival is Arrival.NEXT:
             if exchange.dest == 0:
@@ -361,6 +367,8 @@
             reason: Elements = {Ie.CAUSE: str(fault)[:100], Ie.CAUSECODE: int(CauseCode.PROTOCOL_ERROR)}
             self._answer_plain(frame, addr, Iax.REJECT, write_elements(reason))
             return
+        if not self._token_good(frame, elements, addr, now):
+            return
         if self.admit is not None and frame.subclass == Iax.NEW:
             refused = self.admit(elements, addr, now)
             if refused is not None:
@@ -390,6 +398,40 @@
         else:
             self.events.append(Offered(leg))
 
+    def _token_good(self, frame: Full, elements: Elements, addr: Addr, now: float) -> bool:
+        """Whether the sender is where it says; if not, it has been answered, and no state was made."""
+        ruling = self.tokens.rule(elements.pop(int(Ie.CALLTOKEN), None), addr, now)
+        if ruling is Ruling.PASS:
+            return True
+        if ruling is Ruling.ASK:
+            self.counts["token_asked"] += 1
+            token: Elements = {Ie.CALLTOKEN: self.tokens.issue(addr, now)}
+            self._answer_plain(frame, addr, Iax.CALLTOKEN, write_elements(token))
+        else:
+            self.counts["token_missing"] += 1
+            refused = _cause_elements(int(CauseCode.CALL_REJECTED), "a call token is needed")
+            answer = Iax.REJECT if frame.subclass == Iax.NEW else Iax.REGREJ
+            self._answer_plain(frame, addr, answer, refused)
+        return False
+
+    def _token_given(self, leg: Leg, frame: Full, now: float) -> None:
+        """Open our leg anew with the token that the far end asks for; once, else it could go on for ever."""
+        try:
+            token = read_elements(frame.payload).get(Ie.CALLTOKEN)
+        except ElementError:
+            token = None
+        exchange = leg.exchange
+        if not isinstance(token, bytes) or not token or leg.elements.get(Ie.CALLTOKEN) != b"":
+            self.counts["unexpected"] += 1
+            return
+        leg.elements = leg.elements | {int(Ie.CALLTOKEN): token}
+        exchange.unacked.clear()
+        exchange.oseqno = exchange.iseqno = 0
+        exchange.owed = None
+        first: Elements = {} if leg.registering else {Ie.VERSION: PROTOCOL_VERSION}
+        subclass = Iax.REGREQ if leg.registering else Iax.NEW
+        exchange.send(_IAX, int(subclass), write_elements(first | leg.elements), now)
+
     def _act(self, leg: Leg, frame: Full, now: float) -> None:
         kind, subclass = frame.kind, frame.subclass
         if leg.state is State.ENDING or leg.state is State.GONE:
--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -37,6 +37,7 @@
 )
 from dapplehinge.iax2.registry import Registrar
 from dapplehinge.iax2.states import State
+from dapplehinge.iax2.tokens import Tokens
 from dapplehinge.limits.gate import Gate, Request
 from dapplehinge.limits.pressure import Pressure
 from dapplehinge.limits.sources import SourceRule, Sources
@@ -103,6 +104,7 @@
         self.engine = Engine(
             registrar=Registrar(box.credentials),
             dialplan=box.network.dial_plan.status,
+            tokens=Tokens(box.call_tokens),
             admit=self._admit if box.limits.enabled else None,
         )
         self._measured = (clock(), time.process_time(), 0)
