dapplehinge load: handsets by a seeded plan, open and closed loop, ramps and bells

Arrivals and holding times come from seeded distributions, set-up times are counted from when a call was due.

--- a/dapplehinge/bench/calls.py
+++ b/dapplehinge/bench/calls.py
@@ -246,6 +246,24 @@
     return rows
 
 
+def memory(calls: int, helpers: int, rate: float = 1250.0) -> list[dict[str, Any]]:
+    """Resident memory of one box after each 10,000 calls, when all have ended; MiB."""
+    rows: list[dict[str, Any]] = []
+    with tempfile.TemporaryDirectory(prefix="dapplehinge-bench-") as name:
+        bench = Bench(Path(name), helpers, limited=False)
+        try:
+            stood = 0
+            while stood < calls:
+                row = bench.step(rate, 10_000 / rate * 1000.0, direct=False)
+                stood += row["stood"]
+                pages = int(Path(f"/proc/{bench.box_process.pid}/statm").read_text().split()[1])
+                mib = round(pages * os.sysconf("SC_PAGE_SIZE") / 2**20, 1)
+                rows.append({"calls": stood, "failed": row["failed"], "mib": mib})
+        finally:
+            bench.close()
+    return rows
+
+
 def plot_overload(rows: list[dict[str, Any]], file: Path) -> None:
     """Part of each class that stood in time against the rate offered, with and without limits."""
     import matplotlib
--- a/dapplehinge/cli/main.py
+++ b/dapplehinge/cli/main.py
@@ -125,20 +125,32 @@
 @click.option("--rate", "rates", multiple=True, type=float, default=(100.0, 520.0, 1000.0), show_default=True)
 @click.option("--span", type=float, default=5000.0, show_default=True, help="ms that each rate is offered")
 @click.option("--helpers", type=click.IntRange(1, 8), default=3, show_default=True)
+@click.option("--memory", type=int, help="resident memory of a box over this many calls, and nothing else")
 @click.option("--limits", "with_limits", is_flag=True, help="compare a box with limits and one without")
 @click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="PNG of the comparison")
 @click.option("--json", "as_json", is_flag=True, help="print one JSON object")
 def bench(
-    rates: tuple[float, ...], span: float, helpers: int, with_limits: bool, plot: Path | None, as_json: bool
+    rates: tuple[float, ...],
+    span: float,
+    helpers: int,
+    memory: int | None,
+    with_limits: bool,
+    plot: Path | None,
+    as_json: bool,
 ) -> None:
     """Whole calls a second through one box, beside direct calls and the socket floor in the same run."""
     import msgspec
     from rich.console import Console
     from rich.table import Table
 
+    from dapplehinge.bench.calls import memory as measure_memory
     from dapplehinge.bench.calls import overload, plot_overload
     from dapplehinge.bench.calls import run as run_bench
 
+    if memory is not None:
+        taken = measure_memory(memory, helpers)
+        click.echo(msgspec.json.format(msgspec.json.encode({"rows": taken})).decode())
+        return
     if with_limits:
         rows = overload(list(rates), span, helpers)
         if plot is not None:
@@ -162,6 +174,49 @@
     console.print(table)
 
 
+@main.command("load")
+@click.argument("file", type=FILE)
+@click.option("--json", "as_json", is_flag=True, help="print one JSON object")
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="PNG of the run")
+def load_command(file: Path, as_json: bool, plot: Path | None) -> None:
+    """Play the load plan in FILE: handsets that call a box, in open and closed loop, ramps and bells."""
+    import msgspec
+    from rich.console import Console
+    from rich.progress import Progress
+    from rich.table import Table
+
+    from dapplehinge.load.plan import read_plan
+    from dapplehinge.load.report import FIELDS, as_object
+    from dapplehinge.load.report import plot as draw
+    from dapplehinge.load.run import run_load
+
+    try:
+        plan = read_plan(file)
+    except ConfigError as fault:
+        fail(fault.problems)
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task("calling", total=1.0)
+        load_ = run_load(
+            plan, lambda done, words: progress.update(task, completed=done, description=words)
+        )
+    found = as_object(load_)
+    if plot is not None:
+        try:
+            draw(load_, plot)
+        except ImportError:
+            fail(["--plot needs matplotlib: install dapplehinge[experiments]"])
+    if as_json:
+        click.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
+        return
+    table = Table()
+    for column in ("class", *FIELDS, "p50 ms", "p99 ms"):
+        table.add_column(column.replace("_", " "), justify="right")
+    for name, row in found["classes"].items():
+        times = row["set_up_ms"]
+        table.add_row(name, *(str(row[f]) for f in FIELDS), str(times["p50"]), str(times["p99"]))
+    Console(width=120).print(table)
+
+
 def _judged(trace: Path, as_json: bool) -> None:
     import msgspec
     from rich.console import Console
