--- a/dapplehinge/config/load.py
+++ b/dapplehinge/config/load.py
@@ -124,7 +124,9 @@
             if secret is not None or private is not None:
                 self.wrong((*base, "username"), "a secret or key needs the name it belongs to")
             return None
-        return Credentials(exchange.username, secret, private_pem=private)
+        return Credentials(
+            exchange.username, secret, private_pem=private, encryption=exchange.encryption
+        )
 
     def origins(self) -> tuple[tuple[Origin, ...], dict[str, Credentials]]:
         origins: list[Origin] = []
@@ -148,9 +150,11 @@
             if account.public_key_file is not None:
                 public = self.secret((*base, "public_key_file"), account.public_key_file)
             ways = (account.secret, account.secret_file, account.public_key_file)
+            if account.encryption == "required" and secret is None:
+                self.wrong((*base, "encryption"), "the key is made from a shared secret, which is missing")
             if not any(way is not None for way in ways):
                 self.wrong(base, "an account needs one of secret, secret_file, public_key_file")
-            credentials[name] = Credentials(name, secret, public)
+            credentials[name] = Credentials(name, secret, public, encryption=account.encryption)
             origins.append(
                 Origin(
                     account.context,
--- a/dapplehinge/config/schema.py
+++ b/dapplehinge/config/schema.py
@@ -37,6 +37,7 @@
 IpNetwork = Annotated[str, AfterValidator(_network)]
 Digits = Annotated[str, AfterValidator(_digits)]
 Span = Annotated[float, Field(gt=0, le=86_400_000)]
+Encryption = Literal["off", "offered", "required"]
 Name = Annotated[str, Field(min_length=1, max_length=64)]
 
 
@@ -53,6 +54,7 @@
     secret: str | None = Field(default=None, min_length=1)
     secret_file: str | None = None
     private_key_file: str | None = None
+    encryption: Encryption = "off"
 
 
 class GroupPart(Part):
@@ -80,6 +82,7 @@
 
 
 class AccountPart(Part):
+    encryption: Encryption = "offered"
     context: Name
     kind: Name = Field(alias="class")
     tenant: Name | None = None
--- a/dapplehinge/iax2/engine.py
+++ b/dapplehinge/iax2/engine.py
@@ -24,6 +24,7 @@
     Iax,
     Ie,
 )
+from dapplehinge.iax2.crypt import AES_128, LegCipher, SealError
 from dapplehinge.iax2.elements import ElementError, Elements, number, read_elements, text, write_elements
 from dapplehinge.iax2.frames import MINI_HEADER, FrameError, Full, Mini, read
 from dapplehinge.iax2.leg import (
@@ -107,6 +108,7 @@
         self.ended_by_peer: dict[tuple[Addr, int], Leg] = {}
         self._ended_order: deque[tuple[float, int]] = deque()
         self.counts: Counter[str] = Counter()
+        self.sealed = 0  # live legs whose frames are enciphered; 0: none need be looked up before it is read
         self.out: list[tuple[bytes, Addr]] = []
         self.events: list[Event] = []
         self._touched: dict[int, Leg] = {}
@@ -116,6 +118,12 @@
     # What the event loop calls
 
     def receive_datagram(self, data: bytes, addr: Addr, now: float) -> None:
+        if self.sealed:
+            opened = self._opened_seal(data, addr)
+            if opened is None:
+                self.counts["unsealed"] += 1
+                return
+            data = opened
         if len(data) > MINI_HEADER and data[0] < 0x80 and (data[0] or data[1]):
             self._voice(data, addr, now)
             return
@@ -144,8 +152,9 @@
                 exchange.settle()
                 if exchange.out:
                     addr = leg.addr
+                    cipher = leg.cipher
                     for data in exchange.out:
-                        self.out.append((data, addr))
+                        self.out.append((cipher.seal(data) if cipher else data, addr))
                     exchange.out.clear()
                 if leg.state is State.ENDING and not exchange.unacked:
                     self._gone(leg, now)
@@ -191,6 +200,8 @@
         self, addr: Addr, elements: Elements, now: float, credentials: Credentials | None = None
     ) -> Leg | None:
         """Open a leg by NEW (section 6.2.2); None where no call number is free."""
+        if credentials is not None and credentials.encryption != "off":
+            elements = elements | {int(Ie.ENCRYPTION): AES_128}
         leg = self._open(addr, elements, now, credentials)
         if leg is not None:
             first: Elements = {Ie.VERSION: PROTOCOL_VERSION}
@@ -220,6 +231,9 @@
     def challenge(self, leg: Leg, credentials: Credentials, now: float) -> None:
         """Ask the caller who it is (AUTHREQ, section 6.2.4)."""
         leg.credentials = credentials
+        if credentials.encryption == "required" and not self._encrypts(leg, credentials):
+            self.reject(leg, CauseCode.FACILITY_REJECTED, "encryption is needed", now)
+            return
         leg.challenge = auth.challenge()
         methods = auth.methods_of(credentials.secret, credentials.public_pem)
         elements: Elements = {
@@ -227,9 +241,40 @@
             Ie.CHALLENGE: leg.challenge,
             Ie.USERNAME: credentials.username,
         }
+        if self._encrypts(leg, credentials):
+            elements[int(Ie.ENCRYPTION)] = AES_128
         if self._send(leg, _IAX, Iax.AUTHREQ, write_elements(elements), now):
             leg.patience = now + self.bounds.challenge
 
+    @staticmethod
+    def _encrypts(leg: Leg, credentials: Credentials) -> bool:
+        """Whether the caller of this leg asked for encryption that its account has (section 10)."""
+        offered = number(leg.elements, Ie.ENCRYPTION) & AES_128
+        return bool(offered) and credentials.encryption != "off" and credentials.secret is not None
+
+    def _seal(self, leg: Leg, challenge: str, secret: str) -> None:
+        leg.cipher = LegCipher(challenge, secret)
+        self.sealed += 1
+
+    def _opened_seal(self, data: bytes, addr: Addr) -> bytes | None:
+        """The frame in clear, where its leg is enciphered; None for what does not open."""
+        if len(data) < MINI_HEADER:
+            return data
+        source = ((data[0] << 8) | data[1]) & 0x7FFF
+        leg = None
+        if data[0] & 0x80:
+            leg = self.legs.get(((data[2] << 8) | data[3]) & 0x7FFF)
+            if leg is not None and (leg.addr != addr or leg.exchange.dest not in (0, source)):
+                leg = None
+        elif source:
+            leg = self.by_peer.get((addr, source))
+        if leg is None or leg.cipher is None:
+            return data
+        try:
+            return leg.cipher.open(data)
+        except SealError:
+            return None
+
     def accept(self, leg: Leg, media_format: int, now: float) -> bool:
         leg.format = media_format
         return self._send(leg, _IAX, Iax.ACCEPT, _format_elements(media_format), now)
@@ -498,15 +543,22 @@
         elif subclass == Iax.AUTHREQ:
             own = leg.credentials
             answer = auth.answer(elements, own.secret, own.private_pem) if own else None
+            sealed = number(elements, Ie.ENCRYPTION) & AES_128
+            if own is not None and own.encryption == "required" and not sealed:
+                answer = None
             if answer is None:
                 self.hang_up(leg, CauseCode.CALL_REJECTED, "no answer to the challenge", now)
                 self.events.append(Released(leg, CauseCode.CALL_REJECTED, "challenged", rejected=True))
             else:
                 leg.exchange.send(_IAX, int(Iax.AUTHREP), write_elements(answer), now)
+                if sealed and own is not None and own.secret is not None:
+                    self._seal(leg, text(elements, Ie.CHALLENGE), own.secret)
         elif subclass == Iax.AUTHREP:
             leg.patience = inf
             known = leg.credentials or Credentials()
             if auth.answers(elements, leg.challenge, known.secret, known.public_pem):
+                if self._encrypts(leg, known) and known.secret is not None:
+                    self._seal(leg, leg.challenge, known.secret)
                 self._move(leg, after, now)
                 self.events.append(Authenticated(leg))
             else:
@@ -652,8 +704,11 @@
         exchange = leg.exchange
         exchange.unacked.clear()
         exchange.settle()
-        self.out += [(data, leg.addr) for data in exchange.out]
+        cipher = leg.cipher
+        self.out += [(cipher.seal(data) if cipher else data, leg.addr) for data in exchange.out]
         exchange.out.clear()
+        if cipher is not None:
+            self.sealed -= 1
         leg.state = State.GONE
         leg.ping_due = leg.patience = inf
         self.legs.pop(leg.number, None)
--- a/dapplehinge/iax2/leg.py
+++ b/dapplehinge/iax2/leg.py
@@ -6,6 +6,7 @@
 from math import inf
 
 from dapplehinge.iax2.codes import FrameType
+from dapplehinge.iax2.crypt import LegCipher
 from dapplehinge.iax2.elements import Elements
 from dapplehinge.iax2.frames import full_stamp
 from dapplehinge.iax2.reliable import Exchange
@@ -22,6 +23,7 @@
     secret: str | None = None
     public_pem: bytes | None = None
     private_pem: bytes | None = None
+    encryption: str = "off"  # off, offered or required, of call legs
 
 
 class Leg:
@@ -29,8 +31,8 @@
 
     __slots__ = (
         "number", "addr", "outgoing", "state", "exchange", "elements", "opening_print", "credentials",
-        "challenge", "owner", "origin", "format", "bridge", "voice_in", "voice_out", "voice_format", "queued",
-        "patience", "ping_due", "heard", "registering",
+        "challenge", "cipher", "owner", "origin", "format", "bridge", "voice_in", "voice_out", "voice_format",
+        "queued", "patience", "ping_due", "heard", "registering",
     )  # fmt: skip
 
     def __init__(self, addr: Addr, outgoing: bool, exchange: Exchange, elements: Elements) -> None:
@@ -43,6 +45,7 @@
         self.opening_print = 0  # tells a doubled NEW from a new one under the same number
         self.credentials: Credentials | None = None
         self.challenge = ""
+        self.cipher: LegCipher | None = None  # once both ends have the key
         self.owner: tuple[int, int] | None = None  # the owner's name for it
         self.origin: object = None  # who an owner took the caller for, while it is challenged
         self.format = 0  # media format agreed in ACCEPT
--- a/dapplehinge/standins/trial.py
+++ b/dapplehinge/standins/trial.py
@@ -32,9 +32,12 @@
 
 
 class Trial:
-    def __init__(self, scenario: ScenarioPart, folder: Path) -> None:
+    def __init__(
+        self, scenario: ScenarioPart, folder: Path, box: tuple[str, ...] = ("-m", "dapplehinge.cli.main")
+    ) -> None:
         self.scenario = scenario
         self.folder = folder
+        self.box = box  # what Python runs as a box
         self.names = list(scenario.exchanges)
         self.processes: list[tuple[str, subprocess.Popen[bytes], Path]] = []
         count = len(self.names)
@@ -87,7 +90,7 @@
                 box_file = self.folder / f"box-{name}.json5"
                 box = self._box(n, switch_at, proxy_at, directories[n].addr)
                 box_file.write_text(json.dumps(box, indent=1))
-                command = ["-m", "dapplehinge.cli.main", "run", str(box_file), "--fd", str(socks[n].fileno())]
+                command = [*self.box, "run", str(box_file), "--fd", str(socks[n].fileno())]
                 self._start(f"box-{name}", command, socks[n].fileno())
                 self._stand_in("switch", name, self._switch(n, begin), socks[count + n].fileno())
                 to_proxy, _ = wire.link(ends[2 * count + n], ends[n])
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -4,10 +4,12 @@
 import json
 import random
 import socket
+from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
 
+from dapplehinge.audit.report import judge_file
 from dapplehinge.cli.main import main
 from dapplehinge.config.load import build
 from dapplehinge.config.source import Source
@@ -19,6 +21,7 @@
 from dapplehinge.proxy.server import Server
 from dapplehinge.standins.scenario import load_scenario, scenario_file
 from dapplehinge.standins.switch import Fault, Switch, SwitchSpec
+from dapplehinge.standins.trial import Trial
 
 HERE = ("127.0.0.1", 0)
 
@@ -222,3 +225,15 @@
     assert code == 0 and found["unanswered"] == 0
     assert all(rule["checked"] > 0 for rule in found["rules"].values()), found["rules"]
     assert sum(c["in_time"] for c in found["calls"].values()) > 500
+
+
+@pytest.mark.parametrize(
+    ("mutant", "rule"),
+    [("second-attempt-early", "one_attempt_out"), ("answer-doubled", "one_final_answer")],
+)
+def test_a_box_with_a_fault_built_in_is_found_guilty(tmp_path, mutant, rule):
+    scenario = load_scenario(scenario_file("resend-at-once"))
+    scenario = scenario.model_copy(update={"told_rules": {}, "span": 1500.0})
+    box = (str(Path(__file__).parent / "mutant_box.py"), mutant)
+    judgement = judge_file(asyncio.run(Trial(scenario, tmp_path, box).play()))
+    assert judgement.rules[rule].broken > 0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -18,7 +18,7 @@
 def test_a_ramp_has_its_mean_rate_and_its_shape(begin, end):
     times = ramp_times(100_000, begin, end, np.random.default_rng(1))
     assert len(times) == pytest.approx(5000, rel=0.06) and np.all(np.diff(times) >= 0)
-    assert 0 <= times[0] and times[-1] <= 100_000
+    assert times[0] >= 0 and times[-1] <= 100_000
     quarter = 25.0 * (begin + (end - begin) / 8)
     assert np.sum(times < 25_000) == pytest.approx(quarter, rel=0.15, abs=30)
 
