--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -56,6 +56,11 @@
 """Seconds a closing box stays for the acknowledgements of what it ended."""
 
 
+def formats_of(elements: Elements) -> int:
+    """Media formats that the sender of a NEW speaks; mu-law where it says nothing (section 8.6.8)."""
+    return number(elements, Ie.CAPABILITY, FORMAT_ULAW) | number(elements, Ie.FORMAT)
+
+
 def variables(elements: Elements) -> dict[str, str]:
     pairs = (line.partition("=") for line in text(elements, Ie.VARIABLE).split("\n"))
     return {name: value for name, sign, value in pairs if sign}
@@ -252,7 +257,7 @@
         if not called:
             self.engine.reject(leg, CauseCode.INVALID_NUMBER_FORMAT, "no number dialled", now)
             return
-        if number(elements, Ie.CAPABILITY, FORMAT_ULAW) | number(elements, Ie.FORMAT) == 0:
+        if not formats_of(elements):
             self.engine.reject(leg, CauseCode.BEARER_NOT_AVAILABLE, "no media format offered", now)
             return
         self._last_call = call = (self._last_call + 1) & 0xFFFFFFFF
@@ -272,8 +277,17 @@
         self._carry(self.core.offered(call, offer, now))
 
     def _accepted(self, event: Event, now: float) -> None:
-        if isinstance(event, Accepted) and event.leg.owner is not None:
-            self._carry(self.core.accepted(*event.leg.owner, now))
+        if not isinstance(event, Accepted) or event.leg.owner is None:
+            return
+        leg, (call, attempt) = event.leg, event.leg.owner
+        legs = self.calls.get(call)
+        if legs is not None and attempt >= 0 and not leg.format & formats_of(legs.caller.elements):
+            # the far end chose what the caller does not speak, and nothing here converts it
+            self.engine.hang_up(leg, CauseCode.INCOMPATIBLE_DESTINATION, "no common format", now)
+            self._forget_leg(call, attempt)
+            self._carry(self.core.ended(call, attempt, CauseCode.INCOMPATIBLE_DESTINATION, now))
+            return
+        self._carry(self.core.accepted(call, attempt, now))
 
     def _signal(self, event: Event, now: float) -> None:
         if not isinstance(event, Signal) or event.leg.owner is None:
--- a/dapplehinge/standins/switch.py
+++ b/dapplehinge/standins/switch.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
+from dapplehinge.iax2.codes import CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.elements import number, text
 from dapplehinge.iax2.engine import Engine
 from dapplehinge.iax2.leg import Addr, Leg, Offered, Released, Voice
@@ -46,6 +46,7 @@
     fall_multiple: float = 2.5
     tip_after: float = 3000.0
     echo: bool = True
+    media_format: int = 0  # chosen whatever the caller speaks; 0: as the caller prefers
     faults: list[Fault] = []
     seed: int = 1
 
@@ -149,7 +150,7 @@
                 self.counts["no_circuit"] += 1
                 self.engine.reject(leg, CauseCode.NO_CIRCUIT_AVAILABLE, "no circuit", now)
                 return
-            self.engine.accept(leg, number(leg.elements, Ie.FORMAT) or FORMAT_ULAW, now)
+            self.engine.accept(leg, self.spec.media_format or number(leg.elements, Ie.FORMAT), now)
             if called.endswith("99"):
                 self.counts["engaged"] += 1
                 self.engine.signal(leg, _CONTROL, int(Control.BUSY), now)
--- a/tests/test_iax2_legs.py
+++ b/tests/test_iax2_legs.py
@@ -380,3 +380,58 @@
     for (state, _, _), after in {**RECEIVED, **SENT}.items():
         assert state not in (State.ENDING, State.GONE)
         assert after >= state or (state, after) == (State.CHALLENGED, State.OFFERED)
+
+
+@pytest.mark.parametrize("point", ["before any answer", "challenged", "accepted", "with the answer"])
+def test_the_caller_hangs_up_at_each_point(point):
+    wire = Wire()
+    a, b = wire.ends[A], wire.ends[B]
+    ours = a.dial(B, {Ie.CALLED_NUMBER: "1"}, wire.now, Credentials("u", "s"))
+    if point == "before any answer":
+        (new,) = a.datagrams_to_send(wire.now)
+        a.hang_up(ours, 16, "", wire.now)
+        b.receive_datagram(new[0], A, wire.now)
+    else:
+        wire.run()
+        theirs = wire.taken(B)[0].leg
+        if point == "challenged":
+            b.challenge(theirs, Credentials("u", "s"), wire.now)
+            a.hang_up(ours, 16, "", wire.now)
+        else:
+            b.accept(theirs, FORMAT_ULAW, wire.now)
+            wire.run()
+            if point == "with the answer":
+                b.signal(theirs, *ANSWER, wire.now)
+            a.hang_up(ours, 16, "", wire.now)
+    wire.run(10_000)
+    assert not a.legs and not b.legs and not b.opening
+    assert len([e for e in wire.taken(B) if isinstance(e, Released)]) == 1
+    assert not [e for e in wire.taken(A) if isinstance(e, Signal | Released)]
+
+
+def test_a_client_whose_address_changed_is_a_stranger():
+    wire = Wire()
+    ours, theirs = stand(wire)
+    moved = ("127.0.0.1", 2002)
+    dtmf = fr.Full(ours.number, theirs.number, 900, ours.exchange.oseqno, 0, FrameType.DTMF, ord("1"))
+    wire.ends[B].receive_datagram(fr.write(dtmf), moved, wire.now)
+    ((answer, to),) = wire.ends[B].datagrams_to_send(wire.now)
+    assert to == moved and fr.read(answer).subclass == Iax.INVAL
+    assert not wire.taken(B) and theirs.state is State.UP
+
+
+def test_call_numbers_run_out_with_a_cause_and_come_back():
+    engine = Engine(bounds=Bounds(quarantine=100.0))
+    engine.numbers = CallNumbers(100.0, largest=3)
+    wire = Wire(b=engine)
+    for _ in range(5):
+        wire.ends[A].dial(B, {Ie.CALLED_NUMBER: "1"}, wire.now)
+    wire.run()
+    assert [e.cause for e in wire.taken(A)] == [CauseCode.SWITCH_CONGESTION] * 2
+    for event in wire.taken(B):
+        engine.reject(event.leg, 21, "", wire.now)
+    wire.run(200)
+    wire.taken(A)
+    wire.ends[A].dial(B, {Ie.CALLED_NUMBER: "1"}, wire.now)
+    wire.run()
+    assert len(wire.taken(B)) == 1
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -17,6 +17,8 @@
 from dapplehinge.iax2.codes import FORMAT_ULAW, Control, FrameType, Iax, Ie
 from dapplehinge.iax2.engine import Engine
 from dapplehinge.iax2.leg import Credentials, Released, Signal, Voice
+from dapplehinge.iax2.reliable import Timing
+from dapplehinge.limits.tenants import Tenants
 from dapplehinge.proxy.port import Port, clock, open_socket
 from dapplehinge.proxy.server import Server
 from dapplehinge.standins.scenario import load_scenario, scenario_file
@@ -31,7 +33,12 @@
 
     def __init__(self, tmp_path, **faults):
         sock = open_socket(HERE)
-        spec = SwitchSpec(name="hall", ring=20, faults=[Fault(**f) for f in faults.get("faults", [])])
+        spec = SwitchSpec(
+            name="hall",
+            ring=faults.get("ring", 20),
+            faults=[Fault(**f) for f in faults.get("faults", [])],
+            media_format=faults.get("media_format", 0),
+        )
         self.switch = Switch(spec, sock, clock())
         self.switch.port.flush()
         host, port = sock.getsockname()
@@ -58,6 +65,7 @@
         self.server = Server(build(Source("quay", text), tmp_path), box_sock)
         self.server.start()
         self.engine = Engine()
+        self.server.engine.timing = Timing(first_gap=50, least_gap=50, retries=2)
         self.events = []
         self.port = Port(open_socket(HERE), self.engine, self.gather)
 
@@ -151,6 +159,79 @@
     live(tmp_path, play, faults=[{"kind": "hang", "at": 0.0, "span": 1e12}])
 
 
+def test_a_far_end_without_a_common_format_ends_the_call_cleanly(tmp_path):
+    async def play(quay):
+        quay.dial()
+        await quay.until(lambda: quay.heard(Released))
+        assert quay.heard(Released)[0].cause == 88
+        await quay.until(lambda: not quay.switch.engine.legs and not quay.server.engine.legs)
+
+    live(tmp_path, play, media_format=2)
+
+
+@pytest.mark.parametrize("after", ["set-up", "ringing", "answer"])
+def test_a_caller_that_vanishes_without_a_word_leaves_no_leg(tmp_path, after):
+    async def play(quay):
+        quay.dial("100" if after == "answer" else "198")
+        if after == "set-up":
+            await quay.until(lambda: quay.server.calls)
+        else:
+            await quay.until(lambda: quay.heard(Signal, Control[after.upper()]))
+        quay.port.loop.remove_handler(quay.port.sock)  # its socket stays, nobody reads it
+        if after != "set-up":  # whatever the box next says to it is never acknowledged
+            (theirs,) = (leg for leg in quay.server.engine.legs.values() if not leg.outgoing)
+            theirs.ping_due = clock()
+            quay.server.engine.signal(theirs, FrameType.TEXT, 0, clock(), b"?")
+            quay.server.port.flush()
+        await quay.until(lambda: not quay.server.calls and not quay.switch.engine.legs)
+        assert quay.server.core.ledger.free(1, clock()) == 5 and quay.server.gate.in_hand == 0
+        quay.port.loop.add_handler(quay.port.sock, quay.port._readable, quay.port.loop.READ)
+
+    live(tmp_path, play)
+
+
+def test_dtmf_text_and_hold_pass_both_ways_and_transfer_is_declined(tmp_path):
+    async def play(quay):
+        leg = quay.dial()
+        await quay.until(lambda: quay.heard(Signal, Control.ANSWER))
+        (far,) = quay.switch.engine.legs.values()
+        heard = []
+        quay.switch.handle_events = lambda now: heard.extend(quay.switch.engine.next_events())
+        quay.switch.port.handle_events = quay.switch.handle_events
+        for kind, subclass, payload in (
+            (FrameType.DTMF, ord("5"), b""), (FrameType.TEXT, 0, b"4200"), (FrameType.CONTROL, 0x10, b""),
+            (FrameType.IAX, Iax.QUELCH, b""),
+        ):  # fmt: skip
+            assert quay.engine.signal(leg, kind, subclass, clock(), payload)
+        quay.port.flush()
+        await quay.until(lambda: len(heard) == 4)
+        assert [(e.kind, e.subclass, e.payload) for e in heard][1] == (FrameType.TEXT, 0, b"4200")
+        quay.events.clear()
+        quay.switch.engine.signal(far, FrameType.DTMF, ord("7"), clock())
+        quay.switch.port.flush()
+        await quay.until(lambda: quay.heard(Signal, ord("7")))
+        leg.exchange.send(FrameType.IAX, Iax.TXREQ, b"", clock())
+        quay.engine._touched[leg.number] = leg
+        quay.port.flush()
+        await quay.until(lambda: quay.server.engine.counts["unsupported"] == 1)
+        assert leg.alive
+
+    live(tmp_path, play)
+
+
+def test_a_tenant_far_beyond_its_quota_hears_when_to_try_again(tmp_path):
+    async def play(quay):
+        quay.server.gate.tenants = Tenants((1.0,), 1, 2.0)
+        for _ in range(20):
+            quay.dial("198")
+            await asyncio.sleep(0)
+        await quay.until(lambda: len(quay.heard(Released)) >= 16)
+        assert {(e.cause, "try again in" in e.text) for e in quay.heard(Released)} == {(42, True)}
+        assert quay.server.gate.counts["tenant"] == 16 and quay.server.gate.in_hand <= 4
+
+    live(tmp_path, play)
+
+
 def test_garbage_floods_and_strangers_reach_nothing(tmp_path):
     async def play(quay):
         chaos = random.Random(5)
