--- a/dapplehinge/calls/core.py
+++ b/dapplehinge/calls/core.py
@@ -47,7 +47,6 @@
     MODULE = auto()  # a timer of the module's
     ATTEMPT = auto()  # an attempt's time-out
     HELD = auto()  # a set-up that the interlock holds back
-    RING = auto()  # the ring limit
     TRUNKS = auto()  # a group that is held down gets a circuit back
 
 
@@ -108,6 +107,9 @@
         self.now = now
         self._agenda: list[tuple[float, int, _Due, int, int]] = []
         self._ticket = 0
+        # calls that ring -> until when they may: the limit is one for all, so they stand in its order. An entry
+        # each in the agenda would outlive most calls by minutes.
+        self._ringing: dict[int, float] = {}
         self._trunks_due = inf
         self._events: deque[api.Event] = deque()
         self._busy = False
@@ -181,7 +183,7 @@
         if entry is not None and entry.stage is Stage.SETTING_UP:
             self._stands(call, entry)
             self.out.append(TellRinging(call, attempt))
-            self._at(now + self.network.ring_limit, _Due.RING, call, attempt)
+            self._ringing[call] = self.now + self.network.ring_limit
         return self._done()
 
     def answered(self, call: int, attempt: int, now: float) -> list[Action]:
@@ -191,6 +193,7 @@
             if entry.stage is Stage.SETTING_UP:
                 self._stands(call, entry)
             entry.answered = True
+            self._ringing.pop(call, None)
             self.out.append(TellAnswered(call, attempt))
         return self._done()
 
@@ -252,7 +255,8 @@
 
     @property
     def next_due(self) -> float:
-        return self._agenda[0][0] if self._agenda else inf
+        ringing = next(iter(self._ringing.values()), inf)
+        return min(self._agenda[0][0], ringing) if self._agenda else ringing
 
     # What the verbs share
 
@@ -261,6 +265,8 @@
         while self._agenda and self._agenda[0][0] <= self.now:
             _, _, what, first, second = heappop(self._agenda)
             self._overdue(what, first, second)
+        while self._ringing and next(iter(self._ringing.values())) <= self.now:
+            self._rang_too_long()
 
     def _done(self) -> list[Action]:
         out, self.out = self.out, []
@@ -291,10 +297,13 @@
             if what is _Due.ATTEMPT and entry.stage is Stage.SETTING_UP:
                 self.out.append(Drop(first, second, CauseCode.RECOVERY_ON_TIMER_EXPIRY))
                 self._attempt_over(first, entry, causes.Verdict(api.Outcome.TIMED_OUT, api.Cause.NONE))
-            elif what is _Due.RING and not entry.answered:
-                self.out.append(Drop(first, second, CauseCode.NO_ANSWER))
-                self._forget(first, entry)
-                self.out.append(End(first, CauseCode.NO_ANSWER, "no answer", Final.CLEARED))
+
+    def _rang_too_long(self) -> None:
+        call = next(iter(self._ringing))
+        entry = self.calls[call]
+        self.out.append(Drop(call, entry.out, CauseCode.NO_ANSWER))
+        self._forget(call, entry)
+        self.out.append(End(call, CauseCode.NO_ANSWER, "no answer", Final.CLEARED))
 
     def _at(self, due: float, what: _Due, first: int, second: int = 0) -> None:
         self._ticket += 1
@@ -402,6 +411,7 @@
 
     def _forget(self, call: int, entry: Call) -> None:
         self._release(call, entry)
+        self._ringing.pop(call, None)
         self.calls.pop(call, None)
 
     def _report(self, to: int) -> None:
--- a/dapplehinge/config/load.py
+++ b/dapplehinge/config/load.py
@@ -31,6 +31,7 @@
     switch_ids: tuple[int, ...]  # of the exchanges, in their order, where no directory tells
     origins: tuple[Origin, ...]
     credentials: dict[str, Credentials]
+    registrations: tuple[tuple[int, int], ...]  # exchange, seconds: where this box registers, and how often
     own_credentials: tuple[Credentials | None, ...]  # the box's own at each exchange, in their order
     call_tokens: Policy
     limits: LimitsPart
@@ -246,6 +247,12 @@
             )
         except ValueError as fault:
             self.wrong(("rules",), str(fault))
+        registrations = []
+        for index, (name, exchange) in enumerate(part.exchanges.items()):
+            if exchange.register_each is not None:
+                registrations.append((index, exchange.register_each))
+                if exchange.username is None:
+                    self.wrong(("exchanges", name, "register_each"), "a registration needs a username")
         own_credentials = tuple(self.own_credentials(name) for name in part.exchanges)
         if self.problems or settings is None:
             raise ConfigError(self.problems)
@@ -270,6 +277,7 @@
             origins=origins,
             credentials=credentials,
             own_credentials=own_credentials,
+            registrations=tuple(registrations),
             call_tokens=Policy[part.call_tokens.upper()],
             limits=part.limits,
             directory=split(part.directory) if part.directory else None,
--- a/dapplehinge/config/schema.py
+++ b/dapplehinge/config/schema.py
@@ -55,6 +55,7 @@
     secret_file: str | None = None
     private_key_file: str | None = None
     encryption: Encryption = "off"
+    register_each: int | None = Field(default=None, ge=10, le=3600, description="seconds")
 
 
 class GroupPart(Part):
--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -32,10 +32,11 @@
     Leg,
     Offered,
     Registered,
+    RegistrationAnswered,
     Released,
     Signal,
 )
-from dapplehinge.iax2.registry import Registrar
+from dapplehinge.iax2.registry import Registrar, Registration
 from dapplehinge.iax2.states import State
 from dapplehinge.iax2.tokens import Tokens
 from dapplehinge.limits.gate import Gate, Request
@@ -112,6 +113,12 @@
             tokens=Tokens(box.call_tokens),
             admit=self._admit if box.limits.enabled else None,
         )
+        self.registrations: dict[int, Registration] = {}
+        for place, seconds in box.registrations:
+            own = box.own_credentials[place]
+            if own is not None:
+                addr = box.network.exchanges[place].switch
+                self.registrations[place] = Registration(addr, own, seconds)
         self._measured = (clock(), time.process_time(), 0)
         self.calls: dict[int, Legs] = {}
         self.finals: Counter[str] = Counter()
@@ -125,6 +132,7 @@
             Signal: self._signal,
             Released: self._released,
             Registered: self._registered,
+            RegistrationAnswered: self._registration_answered,
         }
 
     # Life
@@ -177,6 +185,32 @@
         self._carry(self.core.listed(change, clock()))
         self.port.flush()
 
+    # Registrations of this box at others
+
+    def _register(self) -> None:
+        now = clock()
+        for place, registration in self.registrations.items():
+            if registration.due <= now:
+                elements = registration.asking()
+                leg = self.engine.register(registration.addr, elements, now, registration.credentials)
+                if leg is None:
+                    registration.failed(now)
+                else:
+                    leg.owner = (-1, place)
+                self.port.flush()
+
+    def _registration_answered(self, event: Event, now: float) -> None:
+        if not isinstance(event, RegistrationAnswered) or event.leg.owner is None:
+            return
+        place = event.leg.owner[1]
+        registration, name = self.registrations[place], self.network.exchanges[place].name
+        if event.accepted:
+            registration.granted(event.refresh, now)
+            self.log.info("registration.held", exchange=name, refresh=event.refresh)
+        else:
+            registration.failed(now)
+            self.log.warning("registration.failed", exchange=name, cause=event.cause)
+
     # Limits
 
     def _measure(self) -> None:
@@ -185,6 +219,7 @@
         self._measured = (now, used, self.port.full_batches)
         busy = 1000.0 * (used - cpu) / max(1.0, now - wall)
         self.gate.pressure.measured(busy, self.port.full_batches > full)
+        self._register()
 
     def _admit(self, elements: Elements, addr: Addr, now: float) -> tuple[int, str] | None:
         """Asked by the engine of each NEW, before it makes a leg of it."""
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -16,7 +16,8 @@
 from dapplehinge.iax2 import frames as fr
 from dapplehinge.iax2.codes import FORMAT_ULAW, Control, FrameType, Iax, Ie
 from dapplehinge.iax2.engine import Engine
-from dapplehinge.iax2.leg import Credentials, Released, Signal, Voice
+from dapplehinge.iax2.leg import Credentials, Registered, Released, Signal, Voice
+from dapplehinge.iax2.registry import Registrar, Registration
 from dapplehinge.iax2.reliable import Timing
 from dapplehinge.limits.tenants import Tenants
 from dapplehinge.proxy.port import Port, clock, open_socket
@@ -148,6 +149,23 @@
     live(tmp_path, play)
 
 
+def test_a_box_registers_where_it_is_told_and_again_before_it_expires(tmp_path):
+    async def play(quay):
+        registrar = Registrar({"quay": Credentials("quay", "s")}, shortest=1)
+        quay.switch.engine.registrar = registrar
+        heard = []
+        quay.switch.port.handle_events = lambda now: heard.extend(quay.switch.engine.next_events())
+        addr = quay.switch.port.sock.getsockname()
+        wrong = Registration(addr, Credentials("quay", "x"), 1)
+        quay.server.registrations = {1: Registration(addr, Credentials("quay", "s"), 1), 0: wrong}
+        await quay.until(lambda: len([e for e in heard if isinstance(e, Registered)]) == 2)
+        assert registrar.place("quay", clock()) == quay.addr
+        await quay.until(lambda: wrong.failures >= 1)
+        assert wrong.held_until < clock() < quay.server.registrations[1].held_until
+
+    live(tmp_path, play)
+
+
 def test_a_switch_that_takes_set_ups_and_answers_none(tmp_path):
     async def play(quay):
         legs = [quay.dial() for _ in range(3)]
