--- a/dapplehinge/calls/core.py
+++ b/dapplehinge/calls/core.py
@@ -107,8 +107,8 @@
         self.now = now
         self._agenda: list[tuple[float, int, _Due, int, int]] = []
         self._ticket = 0
-        # calls that ring -> until when they may: the limit is one for all, so they stand in its order. An entry
-        # each in the agenda would outlive most calls by minutes.
+        # calls that ring -> until when they may: the limit is one for all, so they stand in its order; an
+        # entry each in the agenda would outlive most calls by minutes
         self._ringing: dict[int, float] = {}
         self._trunks_due = inf
         self._events: deque[api.Event] = deque()
