--- a/dapplehinge/iax2/states.py
+++ b/dapplehinge/iax2/states.py
@@ -37,55 +37,49 @@
 LIVE = frozenset({State.LINKED, State.UP})
 ALIVE = OPENING | LIVE
 
-RECEIVED: dict[tuple[State, int, int], State] = {
-    (State.WAITING, _I, Iax.AUTHREQ): State.WAITING,
-    (State.WAITING, _I, Iax.ACCEPT): State.LINKED,
-    (State.WAITING, _I, Iax.REJECT): State.GONE,
-    (State.CHALLENGED, _I, Iax.AUTHREP): State.OFFERED,
-    (State.OFFERED, _I, Iax.REJECT): State.GONE,
-    (State.CHALLENGED, _I, Iax.REJECT): State.GONE,
-    (State.LINKED, _I, Iax.REJECT): State.GONE,  # outside the RFC, but sent by some after ACCEPT
+Table = dict[tuple[State, int, int], State]
+
+_EITHER: Table = {
     (State.LINKED, _C, Control.ANSWER): State.UP,
     (State.LINKED, _C, Control.RINGING): State.LINKED,
     (State.LINKED, _C, Control.PROCEEDING): State.LINKED,
     (State.LINKED, _C, Control.PROGRESS): State.LINKED,
     (State.LINKED, _C, Control.BUSY): State.LINKED,
     (State.LINKED, _C, Control.CONGESTION): State.LINKED,
-    (State.UP, _C, Control.BUSY): State.UP,
-    (State.UP, _C, Control.CONGESTION): State.UP,
 }
-"""(state, frame type, subclass) of a received frame -> the state after it."""
-
-for _state in ALIVE:
-    RECEIVED[(_state, _I, Iax.HANGUP)] = State.GONE
 for _state in LIVE:
     for _mid in (Control.HOLD, Control.UNHOLD, Control.FLASH_HOOK, Control.OPTION, Control.KEY_RADIO,
                  Control.UNKEY_RADIO):  # fmt: skip
-        RECEIVED[(_state, _C, _mid)] = _state
-    RECEIVED[(_state, _C, Control.HANGUP)] = _state
+        _EITHER[(_state, _C, _mid)] = _state
     for _iax in (Iax.QUELCH, Iax.UNQUELCH):
-        RECEIVED[(_state, _I, _iax)] = _state
+        _EITHER[(_state, _I, _iax)] = _state
+
+RECEIVED: Table = _EITHER | {
+    (State.WAITING, _I, Iax.AUTHREQ): State.WAITING,
+    (State.WAITING, _I, Iax.ACCEPT): State.LINKED,
+    (State.WAITING, _I, Iax.REJECT): State.GONE,
+    (State.CHALLENGED, _I, Iax.AUTHREP): State.OFFERED,
+    (State.OFFERED, _I, Iax.REJECT): State.GONE,
+    (State.CHALLENGED, _I, Iax.REJECT): State.GONE,
+    (State.LINKED, _I, Iax.REJECT): State.GONE,  # outside the RFC, but sent by some after ACCEPT
+    (State.UP, _C, Control.BUSY): State.UP,
+    (State.UP, _C, Control.CONGESTION): State.UP,
+    (State.LINKED, _C, Control.HANGUP): State.LINKED,
+    (State.UP, _C, Control.HANGUP): State.UP,
+}
+"""(state, frame type, subclass) of a received frame -> the state after it."""
 
-SENT: dict[tuple[State, int, int], State] = {
+SENT: Table = _EITHER | {
     (State.OFFERED, _I, Iax.AUTHREQ): State.CHALLENGED,
     (State.OFFERED, _I, Iax.ACCEPT): State.LINKED,
     (State.OFFERED, _I, Iax.REJECT): State.ENDING,
     (State.CHALLENGED, _I, Iax.REJECT): State.ENDING,
     (State.WAITING, _I, Iax.AUTHREP): State.WAITING,
-    (State.LINKED, _C, Control.ANSWER): State.UP,
-    (State.LINKED, _C, Control.RINGING): State.LINKED,
-    (State.LINKED, _C, Control.PROCEEDING): State.LINKED,
-    (State.LINKED, _C, Control.PROGRESS): State.LINKED,
-    (State.LINKED, _C, Control.BUSY): State.LINKED,
-    (State.LINKED, _C, Control.CONGESTION): State.LINKED,
+    (State.LINKED, _I, Iax.DPREQ): State.LINKED,
+    (State.UP, _I, Iax.DPREQ): State.UP,
 }
 """(state, frame type, subclass) of a frame to send -> the state after it; what is missing may not be sent."""
 
 for _state in ALIVE:
+    RECEIVED[(_state, _I, Iax.HANGUP)] = State.GONE
     SENT[(_state, _I, Iax.HANGUP)] = State.ENDING
-for _state in LIVE:
-    for _mid in (Control.HOLD, Control.UNHOLD, Control.FLASH_HOOK, Control.OPTION, Control.KEY_RADIO,
-                 Control.UNKEY_RADIO):  # fmt: skip
-        SENT[(_state, _C, _mid)] = _state
-    for _iax in (Iax.QUELCH, Iax.UNQUELCH, Iax.DPREQ):
-        SENT[(_state, _I, _iax)] = _state
