--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -240,6 +240,7 @@
         if self.now - call.sent <= self.limit:
             rung.good_sent = max(rung.good_sent, call.sent)
             rung.stood.append(self.now)
+            rung.service_rate(self.now, MU_SPANS * self.limit)  # lets go of what its window has passed
             rung.failed = 0
         else:
             rung.went_bad(call.sent)
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -80,3 +80,14 @@
     proxy.stands(proxy.calls, 2)
     proxy.wait(1000)
     assert sent(proxy.offer(1)) == [2]
+
+
+def test_a_rung_that_stays_open_keeps_no_more_than_its_window(proxy):
+    for _ in range(2000):
+        proxy.offer()
+        proxy.wait(1.0)
+        proxy.stands(proxy.calls, 1)
+    rung = proxy.controller.rungs[(1, 101)]
+    span = 4.0 * proxy.controller.limit  # its window, MU_SPANS
+    assert len(rung.stood) <= span + 1 and len(rung.young) <= proxy.controller.limit + 2
+    assert len(proxy.controller.agenda) <= 4000
