--- a/tests/test_call_core.py
+++ b/tests/test_call_core.py
@@ -280,3 +280,24 @@
     assert origins.find("bidders", "", "127.0.0.1") is Refusal.NO_SUCH_CONTEXT
     assert origins.find("transit", "", "127.0.0.1").in_transit
     assert origins.find("transit", "", "no address") is Refusal.NOT_FROM_HERE
+
+
+def test_a_caller_who_redials_during_the_guard_is_a_call_of_its_own():
+    box = Box()
+    box.offer()
+    box.core.accepted(1, 0, box.now)
+    box.core.ended(1, 0, 41, box.now, Ended(rejected=False))
+    box.core.caller_gone(1, box.now)
+    seen = [*box.offer(redialled=True), *box.run(4000)]
+    assert {a.call for a in seen} == {2} and len([a for a in seen if isinstance(a, End)]) == 1
+    assert not box.core.calls
+
+
+def test_an_answer_to_another_challenge_is_no_answer():
+    from dapplehinge.iax2 import auth
+    from dapplehinge.iax2.codes import Ie
+
+    replayed = {Ie.MD5_RESULT: auth.md5_result(auth.challenge(), "s")}
+    fresh = auth.challenge()
+    assert not auth.answers(replayed, fresh, "s", None)
+    assert auth.answers({Ie.MD5_RESULT: auth.md5_result(fresh, "s")}, fresh, "s", None)
