--- a/dapplehinge/iax2/engine.py
+++ b/dapplehinge/iax2/engine.py
@@ -311,7 +311,6 @@
         if leg is None or leg.state not in LIVE:
             self.counts["stray_voice"] += 1
             return
-        leg.heard = now
         stamp = leg.voice_stamp((data[2] << 8) | data[3])
         self._voice_in(leg, stamp, data[MINI_HEADER:], now)
 
@@ -330,7 +329,6 @@
             self._without_leg(frame, addr, now)
             return
         exchange = leg.exchange
-        leg.heard = now
         self._touched[leg.number] = leg
         if frame.kind == _IAX and frame.subclass == Iax.INVAL:
             self.counts["inval_received"] += 1
@@ -485,7 +483,7 @@
             return
         if kind == _VOICE:
             if leg.state in LIVE:
-                leg.voice_in, leg.voice_format = frame.timestamp, subclass
+                leg.voice_in = frame.timestamp
                 self._voice_in(leg, frame.timestamp, frame.payload, now)
             return
         if kind in _PASSED_ON:
--- a/dapplehinge/iax2/leg.py
+++ b/dapplehinge/iax2/leg.py
@@ -31,8 +31,8 @@
 
     __slots__ = (
         "number", "addr", "outgoing", "state", "exchange", "elements", "opening_print", "credentials",
-        "challenge", "cipher", "owner", "origin", "format", "bridge", "voice_in", "voice_out", "voice_format",
-        "queued", "patience", "ping_due", "heard", "registering",
+        "challenge", "cipher", "owner", "origin", "format", "bridge", "voice_in", "voice_out",
+        "queued", "patience", "ping_due", "registering",
     )  # fmt: skip
 
     def __init__(self, addr: Addr, outgoing: bool, exchange: Exchange, elements: Elements) -> None:
@@ -52,11 +52,9 @@
         self.bridge: Leg | None = None  # the leg that its voice goes to
         self.voice_in = 0  # last whole time-stamp of voice received
         self.voice_out = -1  # high part of the last voice time-stamp sent; -1: none yet
-        self.voice_format = 0  # format of the last full voice frame received
         self.queued = inf  # when its entry in the engine's timer falls due
         self.patience = inf  # until when a challenge may stay unanswered
         self.ping_due = inf
-        self.heard = exchange.started
         self.registering = False  # a registration, not a call
 
     @property
--- a/dapplehinge/standins/wire.py
+++ b/dapplehinge/standins/wire.py
@@ -9,6 +9,7 @@
 
 import random
 import socket
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -64,7 +65,6 @@
         self.begin = clock()
         self.sides: list[Side] = []
         self.loop = IOLoop.current()
-        self.fates = 0
 
     def link(self, first: End, second: End) -> tuple[Addr, Addr]:
         """Join two ends; the addresses by which the first reaches the second, and the second the first."""
@@ -99,10 +99,8 @@
         other = side.other
         if other is None or other.sock.fileno() < 0:
             return
-        try:
+        with suppress(OSError):  # a receiver that is gone loses its datagrams, as on any network
             other.sock.sendto(data, side.there.addr)
-        except OSError:
-            self.fates += 1
 
     def _fate(self, side: Side, now: float) -> tuple[Fate, list[float]]:
         crossing = side.here.zone != side.there.zone
