The proxy serves on the operators' platform: SIP callers, binary switches, control feed

Settings are read by one piece of code for the bench's adapter and the platform. The service (call table, links, controller) has no I/O; Tornado's streams carry it.

--- /dev/null
+++ b/dapplehinge/isup/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's binary trunk messages: codec only, without I/O."""
--- /dev/null
+++ b/dapplehinge/platform/service.py
@@ -0,0 +1,646 @@
+"""The call table between callers, the one `Controller` and switches; without I/O.
+
+Theory of operation. Verbs with a clock (ms) come in, `actions` go out in order, `next_due` says when `due`
+is to be called. A call is *trying* from its INVITE to its final answer, then *standing* until it is released
+from either side. A trying call has one attempt at most; that is *wanted* while a link to its switch is being
+made, and *out* once it was given to a link. Every decision on load and health is the controller's: what
+becomes of each attempt is told to it, what it asks is carried out. Links are held to every switch on the
+list from the start, since the states of the groups come over them.
+
+A call that stands belongs to no connection. It is over when its switch or its caller releases it, when its
+switch has left the list, or when connections to its switch are refused without a break: then no process is
+there that could release it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from math import inf
+
+from dapplehinge import interface as api
+from dapplehinge.calls.interlock import Interlock, Ruling
+from dapplehinge.isup.codec import Cause
+from dapplehinge.platform import actions as act
+from dapplehinge.platform.members import Change, Member
+from dapplehinge.platform.offers import Offer, dialled
+from dapplehinge.platform.settings import REPORT_WORDS, Facts, settings_from
+from dapplehinge.rules import Controller
+
+MARGIN = 50.0
+"""ms that the platform's protocol adds to its time limits: the guard is kept with as much to spare."""
+
+FIRST_GAP, MOST_GAP = 100.0, 1000.0
+"""ms before a link that failed is opened again; doubled each time in a row."""
+
+DEAD_AFTER = 1000.0
+"""ms of connections refused without a break after which no process is at the switch's address."""
+
+LINKS = 4
+"""Most links to one switch, by the platform's protocol."""
+
+MOST_RELEASES = 4096
+"""Releases kept for a switch to which no link is up."""
+
+NOTES = {
+    "congestion": api.Cause.NO_CIRCUIT,
+    "crankback": api.Cause.TURNED_BACK,
+    "remote_throttled": api.Cause.TURNED_BACK_FULL,
+    "throttled": api.Cause.PROCESSOR_FULL,
+    "engaged": api.Cause.LINES_ENGAGED,
+}
+OUTCOMES = {
+    Cause.NO_CIRCUIT: api.Outcome.REJECTED,
+    Cause.USER_BUSY: api.Outcome.LINE_BUSY,
+    Cause.RESOURCE_UNAVAILABLE: api.Outcome.LINE_BUSY,
+    Cause.RECOVERY_ON_TIMER: api.Outcome.NOT_SENT,
+}
+"""What a release before the answer means; with any other cause the set-up was cut."""
+
+DOUBTFUL = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED)
+Report = tuple[tuple[api.Load, float], ...]
+
+
+class ReportError(Exception):
+    """A load report that can't be read."""
+
+
+def report_from(text: str | None) -> Report:
+    """`x0:12;x1:40` as the module's values; fields of unknown names are passed over."""
+    pairs = []
+    for part in (text or "").split(";"):
+        name, colon, value = part.partition(":")
+        if not part.strip():
+            continue
+        try:
+            figure = float(value)
+        except ValueError:
+            figure = inf
+        if not colon or not -1e12 < figure < 1e12:
+            raise ReportError(f"report field {part[:40]!r}")
+        load = REPORT_WORDS.get(name.strip())
+        if load is not None and figure >= 0:
+            pairs.append((load, figure))
+    return tuple(pairs)
+
+
+@dataclass(slots=True)
+class Attempt:
+    number: int
+    peer: Peer
+    asked: float
+    due: float
+    link: int = 0  # that it was given to; 0: none yet
+
+
+@dataclass(slots=True)
+class Call:
+    id: int
+    number: int  # the module's name of it
+    conn: int
+    offer: Offer | None  # while it is trying
+    echo: bytes
+    dialled: str
+    attempts: int = 0
+    out: Attempt | None = None
+    doubtful_end: float = -inf
+    last: api.Outcome | None = None
+    engaged: bool = False
+    stands_at: Peer | None = None
+
+
+@dataclass(slots=True)
+class Peer:
+    """A switch: its links, and what waits for one."""
+
+    number: api.SwitchId
+    id: str
+    address: tuple[str, int]
+    gone: bool = False
+    links: dict[int, set[int]] = field(default_factory=dict)  # link that is up -> calls out on it
+    since: dict[int, float] = field(default_factory=dict)  # when it came up
+    opening: int = 0  # link that is being made
+    failures: int = 0
+    refused_since: float = inf
+    wanting: dict[int, Call] = field(default_factory=dict)
+    standing: set[int] = field(default_factory=set)
+    releases: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MOST_RELEASES))
+
+
+class Service:
+    def __init__(self, facts: Facts, seed: int) -> None:
+        settings = settings_from(facts)
+        self.controller = Controller(settings, seed)
+        self.connect_within = facts.number("policy_limits.connect_timeout", "500")
+        self.interlock = Interlock(settings.guard, 0.0, MARGIN)
+        self.calls: dict[int, Call] = {}  # by id, trying and standing
+        self.trying: dict[int, Call] = {}  # by the module's number
+        self.conns: dict[int, set[int]] = {}  # connection -> ids of the calls trying on it
+        self.peers: dict[api.SwitchId, Peer] = {}
+        self.by_id: dict[str, Peer] = {}
+        self.link_peer: dict[int, Peer] = {}  # links up or being made
+        self.tests: dict[int, tuple[Peer, float]] = {}
+        self.actions: list[act.Action] = []
+        self.now = 0.0
+        self._calls_made = 0
+        self._links_made = 0
+        self._tests_made = 0
+        self._events: deque[api.Event] = deque()
+        self._agenda: list[tuple[float, int, str, int, int]] = []
+        self._entries = 0
+
+    # Clock
+
+    @property
+    def next_due(self) -> float:
+        return self._agenda[0][0] if self._agenda else inf
+
+    def _at(self, when: float, what: str, first: int = 0, second: int = 0) -> None:
+        self._entries += 1
+        heappush(self._agenda, (when, self._entries, what, first, second))
+
+    def start(self, now: float) -> None:
+        self.now = now
+        for action in self.controller.start(now):
+            self._carry_out(action)
+
+    def due(self, now: float) -> None:
+        self.now = now
+        while self._agenda and self._agenda[0][0] <= now:
+            _, _, what, first, second = heappop(self._agenda)
+            if what == "timer":
+                self._events.append(api.TimerDue(first))
+            elif what == "attempt":
+                call = self.trying.get(first)
+                if call is not None and call.out is not None and call.out.number == second:
+                    self._end_attempt(call, api.Outcome.TIMED_OUT)
+            elif what == "hold":
+                call = self.trying.get(first)
+                if call is not None and call.out is not None and call.out.number == second:
+                    self._send(call, call.out)
+            elif what == "open":
+                peer = self.peers.get(first)
+                if peer is not None and not peer.links and not peer.opening:
+                    self._open(peer)
+            elif what == "test":
+                self._test_ended(first, False, ())
+            self._run()
+
+    def _run(self) -> None:
+        while self._events:
+            for action in self.controller.handle(self.now, self._events.popleft()):
+                self._carry_out(action)
+
+    # The list
+
+    def told(self, change: Change, now: float) -> None:
+        self.now = now
+        for member in change.members:
+            state = member.entry.state
+            self.interlock.told(member.number, state is api.SwitchState.READY, now)
+            peer = self.peers.get(member.number)
+            if peer is None and state is not api.SwitchState.GONE:
+                peer = self.peers[member.number] = Peer(member.number, member.id, member.address)
+                self.by_id[member.id] = peer
+                self._open(peer)
+            elif peer is not None:
+                self._changed(peer, member)
+        self._events.append(change.told)
+        self._run()
+
+    def _changed(self, peer: Peer, member: Member) -> None:
+        peer.address = member.address
+        if member.entry.state is api.SwitchState.READY:
+            return
+        for call in list(peer.wanting.values()):  # a connect is pending: nothing may leave afterwards
+            self._end_attempt(call, api.Outcome.UNREACHABLE)
+        if member.entry.state is api.SwitchState.GONE:
+            peer.gone = True
+            del self.peers[peer.number], self.by_id[peer.id]
+            for link in [*peer.links, *([peer.opening] if peer.opening else [])]:
+                self._drop_link(peer, link)
+                self.actions.append(act.CloseLink(link))
+            self._cut_standing(peer)
+            peer.releases.clear()
+
+    # Links
+
+    def _open(self, peer: Peer) -> None:
+        self._links_made += 1
+        peer.opening = self._links_made
+        self.link_peer[peer.opening] = peer
+        self.actions.append(act.OpenLink(peer.number, peer.opening, peer.address, self.connect_within))
+
+    def link_up(self, link: int, now: float) -> None:
+        self.now = now
+        peer = self.link_peer.get(link)
+        if peer is None or peer.opening != link:
+            self.actions.append(act.CloseLink(link))
+            return
+        peer.opening = 0
+        peer.links[link] = set()
+        peer.since[link] = now
+        peer.refused_since = inf
+        while peer.releases:
+            id_, cause = peer.releases.popleft()
+            self.actions.append(act.SendRelease(link, id_, cause))
+        for call in list(peer.wanting.values()):
+            if call.out is not None:
+                self._send(call, call.out)
+        self._run()
+
+    def link_failed(self, link: int, refused: bool, now: float) -> None:
+        """A link that was being made did not come up. `refused`: at once, so that nothing listens there."""
+        self.now = now
+        peer = self.link_peer.pop(link, None)
+        if peer is None or peer.opening != link:
+            return
+        peer.opening = 0
+        self._open_later(peer)
+        peer.refused_since = min(peer.refused_since, now) if refused else inf
+        if not peer.links and now - peer.refused_since >= DEAD_AFTER:
+            self._cut_standing(peer)
+        for call in list(peer.wanting.values()):
+            self._end_attempt(call, api.Outcome.UNREACHABLE)
+        self._run()
+
+    def link_lost(self, link: int, now: float) -> None:
+        """A link that was up has closed or said what can't be read: what was out on it is in doubt."""
+        self.now = now
+        peer = self.link_peer.get(link)
+        if peer is None:
+            return
+        if link not in peer.links:
+            self.link_failed(link, False, now)
+            return
+        lived = now - peer.since[link]
+        if lived >= MOST_GAP:
+            peer.failures = 0
+        self._drop_link(peer, link)
+        if not peer.links and not peer.opening and not peer.gone:
+            if peer.failures == 0:
+                peer.failures = 1
+                self._open(peer)
+            else:
+                self._open_later(peer)
+        self._run()
+
+    def _open_later(self, peer: Peer) -> None:
+        gap = min(MOST_GAP, FIRST_GAP * 2.0 ** min(peer.failures, 8))
+        peer.failures += 1
+        self._at(self.now + gap, "open", peer.number)
+
+    def _drop_link(self, peer: Peer, link: int) -> None:
+        self.link_peer.pop(link, None)
+        peer.since.pop(link, None)
+        if peer.opening == link:
+            peer.opening = 0
+        for id_ in list(peer.links.pop(link, ())):
+            call = self.calls.get(id_)
+            if call is not None and call.out is not None and call.out.link == link:
+                self._end_attempt(call, api.Outcome.CUT)
+
+    def _link(self, peer: Peer) -> int:
+        return min(peer.links, key=lambda link: len(peer.links[link]), default=0)
+
+    def _release(self, peer: Peer, link: int, id_: int, cause: int) -> None:
+        """To the link of its set-up, else any, else the next one that is made."""
+        use = link if link in peer.links else self._link(peer)
+        if use:
+            self.actions.append(act.SendRelease(use, id_, cause))
+        elif not peer.gone:
+            peer.releases.append((id_, cause))
+
+    # What switches say
+
+    def answered(self, link: int, id_: int, description: bytes, now: float) -> None:
+        self.now = now
+        peer, call = self.link_peer.get(link), self.calls.get(id_)
+        if peer is None:
+            return
+        if call is None or call.offer is None or call.out is None or call.out.link != link:
+            if call is None or call.stands_at is not peer:  # it stands there and nobody wants it
+                self.actions.append(act.SendRelease(link, id_, Cause.NORMAL))
+            return
+        attempt = call.out
+        self._detach(call)
+        del self.trying[call.number]
+        self._off_conn(call)
+        call.offer, call.stands_at = None, peer
+        peer.standing.add(id_)
+        self.actions.append(act.Respond(call.conn, call.echo, 200, 0.0, description))
+        call.echo = b""
+        self._events.append(
+            api.CallStands(call.number, attempt.number, peer.number, now - attempt.asked)
+        )
+        self._run()
+
+    def released(self, link: int, id_: int, cause: int, note: str, report: Report, now: float) -> None:
+        self.now = now
+        peer, call = self.link_peer.get(link), self.calls.get(id_)
+        if peer is None:
+            return
+        self.actions.append(act.SendComplete(link, id_))
+        if call is None:
+            return
+        if call.stands_at is peer:
+            over = api.Outcome.COMPLETED if cause == Cause.NORMAL else api.Outcome.CUT
+            self._over(call, cause, over, report)
+        elif call.out is not None and call.out.link == link:
+            outcome = OUTCOMES.get(Cause(cause), api.Outcome.CUT) if cause in _KNOWN else api.Outcome.CUT
+            self._end_attempt(call, outcome, NOTES.get(note, api.Cause.NONE), report, told=True)
+        self._run()
+
+    def reported(self, link: int, report: Report, now: float) -> None:
+        self.now = now
+        peer = self.link_peer.get(link)
+        if peer is not None and not peer.gone:
+            self._events.append(api.SwitchReport(peer.number, False, True, 0.0, report))
+            self._run()
+
+    def tested(self, link: int, id_: int, passed: bool, report: Report, now: float) -> None:
+        self.now = now
+        if link in self.link_peer:
+            self._test_ended(id_, passed, report)
+            self._run()
+
+    def _test_ended(self, id_: int, passed: bool, report: Report) -> None:
+        peer, sent = self.tests.pop(id_, (None, 0.0))
+        if peer is not None:
+            self._events.append(api.SwitchReport(peer.number, True, passed, self.now - sent, report))
+
+    # What callers say
+
+    def offered(self, conn: int, offer: Offer, echo: bytes, now: float) -> bool:
+        """A set-up; False if its id is in use already, and it was not taken."""
+        self.now = now
+        known = self.calls.get(offer.id)
+        if offer.standing_at:
+            self._stands_already(conn, offer, known)
+            self._run()
+            return True
+        if known is not None:
+            return False
+        self._calls_made += 1
+        call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number)
+        self.calls[offer.id] = self.trying[call.number] = call
+        self.conns.setdefault(conn, set()).add(offer.id)
+        self._events.append(
+            api.CallOffered(
+                call=call.number,
+                call_class=offer.call_class,
+                destination=offer.destination,
+                budget=offer.budget,
+                width=offer.width,
+                in_transit=offer.in_transit,
+                redialled=offer.redialled,
+                cut_before=offer.again,
+                tenant=offer.tenant,
+                number=dialled(offer.number),
+                advised=-1 if offer.in_transit else offer.via,
+            )
+        )
+        self._run()
+        return True
+
+    def _stands_already(self, conn: int, offer: Offer, known: Call | None) -> None:
+        peer = self.by_id.get(offer.standing_at)
+        if known is not None:
+            if known.stands_at is peer:
+                known.conn = conn
+            return
+        if peer is None:  # its switch has left
+            self.actions.append(
+                act.ReleaseCaller(conn, offer.id, offer.number, Cause.TEMPORARY_FAILURE)
+            )
+            return
+        self._calls_made += 1
+        call = Call(offer.id, self._calls_made, conn, None, b"", offer.number, stands_at=peer)
+        self.calls[offer.id] = call
+        peer.standing.add(offer.id)
+
+    def given_up(self, conn: int, id_: int, now: float) -> bool:
+        """CANCEL. False: no such call is trying on this connection. One that stands by now is released."""
+        self.now = now
+        call = self.calls.get(id_)
+        if call is None or call.conn != conn:
+            return False
+        if call.offer is None:
+            self._over(call, Cause.NORMAL, api.Outcome.CANCELLED, (), by_caller=True)
+            self.actions.append(act.ReleaseCaller(conn, id_, call.dialled, Cause.NORMAL))
+        else:
+            self._gone(call)
+            self.actions.append(act.Respond(conn, call.echo, 487))  # RFC 3261 9.2
+        self._run()
+        return True
+
+    def caller_released(self, conn: int, id_: int, cause: int, now: float) -> bool:
+        """BYE, on any connection. False: no such call stands."""
+        self.now = now
+        call = self.calls.get(id_)
+        if call is None or call.offer is not None:
+            return False
+        self._over(call, cause, api.Outcome.CANCELLED, (), by_caller=True)
+        self._run()
+        return True
+
+    def caller_lost(self, conn: int, now: float) -> None:
+        """A caller's connection closed: what was trying on it is given up, what stands goes on."""
+        self.now = now
+        for id_ in self.conns.pop(conn, set()):
+            call = self.calls.get(id_)
+            if call is not None and call.offer is not None:
+                self._gone(call)
+        self._run()
+
+    # Ends
+
+    def _gone(self, call: Call) -> None:
+        self._forget(call)
+        self._events.append(api.CallerGone(call.number))
+
+    def _forget(self, call: Call) -> None:
+        """A trying call has ended: what is out for it is given up."""
+        attempt = call.out
+        self._detach(call)
+        if attempt is not None and attempt.link in attempt.peer.links:
+            self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
+        self.trying.pop(call.number, None)
+        self.calls.pop(call.id, None)
+        self._off_conn(call)
+
+    def _off_conn(self, call: Call) -> None:
+        ids = self.conns.get(call.conn)
+        if ids is not None:
+            ids.discard(call.id)
+            if not ids:
+                del self.conns[call.conn]
+
+    def _over(
+        self, call: Call, cause: int, outcome: api.Outcome, report: Report, by_caller: bool = False
+    ) -> None:
+        """A standing call has ended."""
+        peer = call.stands_at
+        del self.calls[call.id]
+        if peer is None:
+            return
+        peer.standing.discard(call.id)
+        if by_caller:
+            self._release(peer, 0, call.id, cause)
+        else:
+            self.actions.append(act.ReleaseCaller(call.conn, call.id, call.dialled, cause))
+        if call.attempts:
+            self._events.append(
+                api.AttemptEnded(
+                    call.number, call.attempts - 1, peer.number, outcome, api.Cause.NONE, 0.0, True, report
+                )
+            )
+
+    def _cut_standing(self, peer: Peer) -> None:
+        for id_ in sorted(peer.standing):
+            call = self.calls.get(id_)
+            if call is not None and call.stands_at is peer:
+                self._over(call, Cause.TEMPORARY_FAILURE, api.Outcome.CUT, ())
+        peer.standing.clear()
+
+    def _detach(self, call: Call) -> None:
+        attempt = call.out
+        if attempt is not None:
+            call.out = None
+            attempt.peer.wanting.pop(call.id, None)
+            if attempt.link in attempt.peer.links:
+                attempt.peer.links[attempt.link].discard(call.id)
+
+    def _end_attempt(
+        self,
+        call: Call,
+        outcome: api.Outcome,
+        cause: api.Cause = api.Cause.NONE,
+        report: Report = (),
+        told: bool = False,
+    ) -> None:
+        """`told`: the switch said so; else what was sent is given up there."""
+        attempt = call.out
+        if attempt is None:
+            return
+        self._detach(call)
+        if not told and attempt.link in attempt.peer.links:  # a link that closed gave it up by that
+            self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
+        if outcome in DOUBTFUL:
+            call.doubtful_end = self.now
+        call.last = outcome
+        call.engaged = cause is api.Cause.LINES_ENGAGED
+        if call.offer is not None:
+            self._events.append(
+                api.AttemptEnded(
+                    call=call.number,
+                    attempt=attempt.number,
+                    switch=attempt.peer.number,
+                    outcome=outcome,
+                    cause=cause,
+                    took=self.now - attempt.asked,
+                    concluded=False,
+                    report=report,
+                )
+            )
+
+    # What the module asks
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.SetUp(number, switch, time_out):
+                self._set_up(number, switch, time_out)
+            case api.Refuse(number, stay_away):
+                self._answer(number, 503, stay_away)
+            case api.Fail(number):
+                call = self.trying.get(number)
+                if call is not None:
+                    timed_out = call.last in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED)
+                    self._answer(number, 486 if call.engaged else 504 if timed_out else 500, 0.0)
+            case api.Cancel(number, attempt):
+                call = self.trying.get(number)
+                if call is not None and call.out is not None and call.out.number == attempt:
+                    self._end_attempt(call, api.Outcome.CANCELLED)
+            case api.SetTimer(span, tag):
+                self._at(self.now + span, "timer", tag)
+            case api.Probe(switch):
+                self._probe(switch)
+            case api.CloseIdle(switch):
+                peer = self.peers.get(switch)
+                for link in [each for each, ids in peer.links.items() if not ids] if peer else []:
+                    self.actions.append(act.CloseLink(link))
+            case api.FetchList():
+                self.actions.append(act.FetchAll())
+            case api.Note(text):
+                self.actions.append(act.Log("module.note", text))
+            case api.Subscribe():
+                pass  # the control feed is followed always
+            case api.TellPeer():
+                pass  # the platform has no way between proxies
+
+    def _set_up(self, number: int, switch: api.SwitchId, time_out: float) -> None:
+        call = self.trying.get(number)
+        if call is None:
+            return
+        peer = self.peers.get(switch)
+        attempt_out = call.out is not None
+        answer = self.interlock.ask(switch, attempt_out, -inf, self.now)
+        attempt = Attempt(call.attempts, peer or Peer(switch, "", ("", 0)), self.now, self.now + time_out)
+        call.attempts += 1
+        if peer is None or answer.ruling is Ruling.BAR:
+            self._events.append(
+                api.AttemptEnded(
+                    number, attempt.number, switch, api.Outcome.UNREACHABLE, api.Cause.NONE, 0.0, False
+                )
+            )
+            return
+        call.out = attempt
+        self._at(attempt.due, "attempt", number, attempt.number)
+        self._send(call, attempt)
+
+    def _send(self, call: Call, attempt: Attempt) -> None:
+        """Give the set-up to a link if one is up and nothing speaks against it now; else wait for that."""
+        peer, offer = attempt.peer, call.offer
+        if offer is None or attempt.link:
+            return
+        link = self._link(peer)
+        if not link:
+            peer.wanting[call.id] = call
+            if not peer.opening:
+                self._open(peer)
+            return
+        answer = self.interlock.ask(peer.number, False, call.doubtful_end, self.now)
+        if answer.ruling is Ruling.HOLD:
+            self._at(answer.not_before, "hold", call.number, attempt.number)
+            return
+        peer.wanting.pop(call.id, None)
+        if answer.ruling is Ruling.BAR:
+            self._end_attempt(call, api.Outcome.UNREACHABLE)
+            return
+        attempt.link = link
+        peer.links[link].add(call.id)
+        wait = attempt.due - self.now
+        self.actions.append(
+            act.SendSetUp(link, call.id, offer.kind, offer.number, wait, offer.description)
+        )
+
+    def _answer(self, number: int, status: int, gap: float) -> None:
+        call = self.trying.get(number)
+        if call is not None:
+            self._forget(call)
+            self.actions.append(act.Respond(call.conn, call.echo, status, gap))
+
+    def _probe(self, switch: api.SwitchId) -> None:
+        peer = self.peers.get(switch)
+        link = self._link(peer) if peer else 0
+        if peer is None or not link:
+            self._events.append(api.SwitchReport(switch, True, False, 0.0))
+            return
+        self._tests_made += 1
+        self.tests[self._tests_made] = (peer, self.now)
+        self._at(self.now + self.connect_within, "test", self._tests_made)
+        self.actions.append(act.SendTest(link, self._tests_made))
+
+
+_KNOWN = frozenset(int(cause) for cause in OUTCOMES)
--- /dev/null
+++ b/dapplehinge/proxy/platform/callers.py
@@ -0,0 +1,252 @@
+"""SIP connections from callers, and the bounds that keep bad ones from costing the others.
+
+What may be done here without the module: bytes, connections, buffers and times are bounded, and what can't
+be read is refused. A connection that says nothing, or half a message, is closed after `SILENCE`; one that
+sends nonsense is read ever more slowly; one that does not read is closed. When there are as many as the
+descriptors allow, one that carries nothing makes room, silent ones first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.netutil import add_accept_handler
+
+from dapplehinge.isup.codec import Cause
+from dapplehinge.platform import actions as act
+from dapplehinge.platform.offers import OfferError, OfferReader, call_id_of
+from dapplehinge.platform.service import Service
+from dapplehinge.sip import codec as sip
+
+CHUNK = 16 * 1024
+MOST_UNREAD = 64 * 1024
+MOST_UNSENT = 256 * 1024
+SILENCE = 2000.0  # ms
+FIRST_PAUSE, MOST_PAUSE = 0.02, 1.0  # seconds that a connection is not read after nonsense, doubling
+OWED_FOR = 8000.0  # ms that a release is kept for a caller who has no connection
+
+
+class Caller:
+    __slots__ = ("number", "stream", "reader", "opened", "heard", "since", "proven", "pause", "byes")
+
+    def __init__(self, number: int, stream: IOStream, now: float) -> None:
+        self.number = number
+        self.stream = stream
+        self.reader = sip.Reader()
+        self.opened = now
+        self.heard = False  # a whole message came
+        self.since = now  # when the message that is not whole yet began
+        self.proven = False  # a set-up that makes sense came
+        self.pause = 0.0
+        self.byes: dict[str, act.ReleaseCaller] = {}  # sent, and not heard to be received
+
+
+class Callers:
+    def __init__(
+        self,
+        service: Service,
+        offers: OfferReader,
+        own: str,
+        clock: Callable[[], float],
+        pump: Callable[[], None],
+        most: Callable[[], int],
+    ) -> None:
+        self.service = service
+        self.offers = offers
+        self.own = own
+        self.clock = clock
+        self.pump = pump
+        self.most = most
+        self.ready: Callable[[], bool] = lambda: True
+        self.conns: dict[int, Caller] = {}
+        self.proven: dict[int, Caller] = {}  # the one that was heard last comes last
+        self.partial: dict[int, Caller] = {}  # nothing whole came yet, or a message is not whole
+        self.owed: dict[int, tuple[act.ReleaseCaller, float]] = {}
+        self.refused = 0
+        self._numbers = 0
+        self._stop: Callable[[], None] | None = None
+        self._listening: socket.socket | None = None
+
+    # Connections
+
+    def listen(self, sock: socket.socket) -> None:
+        self._listening = sock
+        self._stop = add_accept_handler(sock, self._accept)
+
+    def stop_listening(self) -> None:
+        if self._stop is not None and self._listening is not None:
+            self._stop()
+            self._listening.close()
+            self._stop = None
+
+    def _accept(self, sock: socket.socket, address: Any) -> None:
+        if len(self.conns) >= self.most() and not self._make_room():
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(
+            sock, max_buffer_size=MOST_UNREAD, read_chunk_size=CHUNK, max_write_buffer_size=MOST_UNSENT
+        )
+        self._numbers += 1
+        caller = Caller(self._numbers, stream, self.clock())
+        self.conns[caller.number] = self.partial[caller.number] = caller
+        asyncio.ensure_future(self._serve(caller))
+
+    def _make_room(self) -> bool:
+        for pool in (self.partial, self.conns):
+            for caller in pool.values():
+                if caller.number not in self.service.conns and not (pool is self.conns and caller.byes):
+                    self._close(caller)
+                    return True
+        return False
+
+    def _close(self, caller: Caller) -> None:
+        caller.stream.close()
+        self._left(caller)
+
+    def _left(self, caller: Caller) -> None:
+        if self.conns.pop(caller.number, None) is None:
+            return
+        self.proven.pop(caller.number, None)
+        self.partial.pop(caller.number, None)
+        self.service.caller_lost(caller.number, self.clock())
+        for action in caller.byes.values():
+            self.release(action)
+        self.pump()
+
+    def sweep(self, now: float) -> None:
+        """Close what was silent for too long; to be called a few times a second."""
+        for caller in list(self.partial.values()):
+            if now - caller.since >= SILENCE:
+                if caller.reader.amid:
+                    self._write(caller, sip.response(408, b""))
+                self._close(caller)
+        for id_ in [id_ for id_, (_, since) in self.owed.items() if now - since >= OWED_FOR]:
+            del self.owed[id_]
+
+    async def _serve(self, caller: Caller) -> None:
+        stream, reader = caller.stream, caller.reader
+        try:
+            while True:
+                data = await stream.read_bytes(CHUNK, partial=True)
+                messages, fault = reader.feed(data)
+                now = self.clock()
+                nonsense = False
+                for message in messages:
+                    nonsense |= not self._take(caller, message, now)
+                if fault is not None:
+                    self.refused += 1
+                    self._write(caller, sip.response(fault.status, b""))
+                    break
+                if messages:
+                    caller.heard = True
+                    caller.since = now
+                if reader.amid:
+                    if caller.number not in self.partial:
+                        caller.since = now
+                        self.partial[caller.number] = caller
+                elif caller.heard:
+                    self.partial.pop(caller.number, None)
+                self.pump()
+                if nonsense:
+                    self.refused += 1
+                    caller.pause = min(MOST_PAUSE, max(FIRST_PAUSE, 2 * caller.pause))
+                    await asyncio.sleep(caller.pause)
+                elif len(data) == CHUNK:
+                    await asyncio.sleep(0)  # others get their turn
+        except (StreamClosedError, OSError):
+            pass
+        self._close(caller)
+
+    def _write(self, caller: Caller, data: bytes) -> bool:
+        try:
+            caller.stream.write(data)
+        except (StreamBufferFullError, StreamClosedError):
+            caller.stream.close()
+            return False
+        return True
+
+    # Messages
+
+    def _take(self, caller: Caller, message: sip.Message, now: float) -> bool:
+        """False: it made no sense."""
+        if message.status:
+            if message.method == "BYE":
+                caller.byes.pop(message.call_id, None)
+            return True
+        match message.method:
+            case "INVITE":
+                return self._invite(caller, message, now)
+            case "ACK":
+                return True
+            case "OPTIONS":
+                self._write(caller, sip.response(200 if self.ready() else 503, message.echo()))
+                return True
+            case "CANCEL" | "BYE":
+                return self._end(caller, message, now)
+        self._write(caller, sip.response(405, message.echo()))
+        return False
+
+    def _invite(self, caller: Caller, message: sip.Message, now: float) -> bool:
+        echo = message.echo()
+        try:
+            offer = self.offers.read(message)
+        except OfferError:
+            self._write(caller, sip.response(400, echo))
+            return False
+        if not self.service.offered(caller.number, offer, echo, now):
+            self._write(caller, sip.response(482, echo))
+            return False
+        caller.proven = True
+        self.proven.pop(caller.number, None)
+        self.proven[caller.number] = caller
+        if self.owed:
+            owed, self.owed = self.owed, {}
+            for action, _ in owed.values():
+                self.release(action)
+        return True
+
+    def _end(self, caller: Caller, message: sip.Message, now: float) -> bool:
+        try:
+            id_ = call_id_of(message)
+        except OfferError:
+            self._write(caller, sip.response(400, message.echo()))
+            return False
+        if message.method == "CANCEL":
+            known = self.service.given_up(caller.number, id_, now)
+        else:
+            known = self.service.caller_released(caller.number, id_, released_with(message), now)
+        self._write(caller, sip.response(200 if known else 481, message.echo()))
+        return True
+
+    # Actions
+
+    def respond(self, action: act.Respond) -> None:
+        caller = self.conns.get(action.conn)
+        if caller is not None:
+            gap = b"P-Gap-Ms: %d\r\n" % action.gap if action.gap >= 1 else b""
+            self._write(caller, sip.response(action.status, action.echo, gap, action.body))
+
+    def release(self, action: act.ReleaseCaller) -> None:
+        caller = self.conns.get(action.conn)
+        if caller is None or caller.stream.closed():
+            caller = next((each for each in reversed(self.proven.values()) if not each.stream.closed()), None)
+        if caller is None:
+            self.owed[action.id] = (action, self.clock())
+            return
+        call_id = f"{action.id:016x}"
+        if self._write(caller, sip.bye(call_id, action.number, action.cause, self.own)):
+            caller.byes[call_id] = action
+            if len(caller.byes) > 1000:  # a caller that never says so
+                del caller.byes[next(iter(caller.byes))]
+
+
+def released_with(message: sip.Message) -> int:
+    """The Q.850 cause of a BYE; normal clearing where none is told (RFC 3326)."""
+    _, sign, value = message.fields.get("reason", "").partition("cause=")
+    value = value.partition(";")[0].strip()
+    return int(value) if sign and value.isdecimal() and int(value) < 128 else int(Cause.NORMAL)
--- /dev/null
+++ b/dapplehinge/proxy/platform/feed.py
@@ -0,0 +1,84 @@
+"""The control feed, followed by long polls; what is told goes to the member list, in sequence.
+
+One poll is open all the time. One that breaks off, stalls or outlives its wait is asked again at once, then
+at growing gaps; the last list holds meanwhile. The wait is short, so that a feed which went silent without
+closing is asked anew well before what it had to tell counts as told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from tornado.httpclient import HTTPError
+from tornado.netutil import Resolver
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+WAIT = 1.5  # seconds asked of the feed; 5 at most by its protocol
+PATIENCE = 1.0  # seconds beyond the wait before a poll counts as lost
+MOST_BYTES = 4 << 20
+LEAST_GAP, MOST_GAP = 0.02, 0.5
+
+log = logging.getLogger("dapplehinge.feed")
+
+
+class Feed:
+    """`told` takes what the feed answered and gives the number of the last event that was taken."""
+
+    def __init__(self, address: tuple[str, int], event: int, told: Callable[[Any], int]) -> None:
+        Resolver.configure("tornado.netutil.BlockingResolver")  # addresses only; no threads
+        self.address = address
+        self.event = event
+        self.told = told
+        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4, max_body_size=MOST_BYTES)
+        self._task: asyncio.Task[None] | None = None
+        self._well = True
+
+    def follow(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Ask at another address from now on; the numbers go on."""
+        self.stop()
+        self.address = address
+        self.follow()
+
+    def fetch_all(self) -> None:
+        self.event = 0
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _follow(self) -> None:
+        gap = 0.0
+        while True:
+            try:
+                before = self.event
+                self.event = self.told(await self._poll())
+                gap = 0.0 if self.event != before else LEAST_GAP
+                if not self._well:
+                    self._well = True
+                    log.info("feed.back address=%s:%d event=%d", *self.address, self.event)
+            except (HTTPError, OSError, ValueError) as fault:
+                gap = min(MOST_GAP, 2 * gap) if gap else LEAST_GAP
+                if self._well:
+                    self._well = False
+                    log.warning("feed.lost address=%s:%d reason=%s", *self.address, fault)
+            await asyncio.sleep(gap)
+
+    async def _poll(self) -> Any:
+        host, port = self.address
+        site = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+        answer = await self._client.fetch(
+            f"http://{site}/v1/events?SUB={self.event}&wait={int(WAIT * 1000)}",
+            connect_timeout=PATIENCE,
+            request_timeout=WAIT + PATIENCE,
+            decompress_response=False,
+            follow_redirects=False,
+        )
+        return json.loads(answer.body)
--- /dev/null
+++ b/dapplehinge/proxy/platform/node.py
@@ -0,0 +1,145 @@
+"""The service on sockets: one timer, the actions carried out, and the drain."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from math import inf
+from typing import Any
+
+from tornado.ioloop import IOLoop, PeriodicCallback
+
+from dapplehinge.isup import codec as isup
+from dapplehinge.platform import actions as act
+from dapplehinge.platform.members import Members
+from dapplehinge.platform.offers import OfferReader
+from dapplehinge.platform.service import LINKS, Service
+from dapplehinge.proxy.platform.callers import Callers
+from dapplehinge.proxy.platform.config import Config
+from dapplehinge.proxy.platform.feed import Feed
+from dapplehinge.proxy.platform.links import Links
+
+RESERVE = 24  # descriptors for the loop, the listener, the feed, the log, files opened in passing
+LEAST_CALLERS = 16
+SWEEP = 250  # ms
+ARRIVALS = 0.9  # seconds after SIGTERM in which set-ups may still come, and some to spare
+LAST_CALL = 3.4  # seconds after SIGTERM at which nothing is waited for any longer
+
+log = logging.getLogger("dapplehinge.node")
+
+
+def clock() -> float:
+    """Milliseconds that only go forward."""
+    return time.monotonic() * 1000.0
+
+
+class Node:
+    def __init__(self, config: Config, sock: socket.socket) -> None:
+        self.config = config
+        self.loop = IOLoop.current()
+        self.service = Service(config.facts, config.seed)
+        self.members = Members(config.facts.items("zones"), clock() - time.time() * 1000.0)
+        self.links = Links(self.service, clock, self.pump)
+        self.callers = Callers(
+            self.service, OfferReader(config.facts), config.name, clock, self.pump, self.most_callers
+        )
+        self.feed = Feed(config.feed, 0, self.told)
+        self.sock = sock
+        self.draining = False
+        self._armed = inf
+        self._handle: object | None = None
+        self._sweep = PeriodicCallback(lambda: self.callers.sweep(clock()), SWEEP)
+
+    def start(self) -> None:
+        self.service.start(clock())
+        self.feed.event = self.told(self.config.known)
+        self.pump()
+        self.callers.ready = lambda: not self.draining and bool(self.members.known)
+        self.callers.listen(self.sock)
+        self.feed.follow()
+        self._sweep.start()
+        log.info(
+            "node.started name=%s listen=%s:%d switches=%d event=%d",
+            self.config.name,
+            *self.config.listen,
+            len(self.members.known),
+            self.members.event,
+        )
+
+    def most_callers(self) -> int:
+        switches = LINKS * len(self.service.peers)
+        return max(LEAST_CALLERS, self.config.sockets - RESERVE - switches)
+
+    def told(self, answer: Any) -> int:
+        changes, fault = self.members.take(answer)
+        now = clock()
+        for change in changes:
+            self.service.told(change, now)
+        self.pump()
+        if fault is not None:
+            raise ValueError(str(fault))
+        return self.members.event
+
+    def moved(self, feed: tuple[str, int]) -> None:
+        log.info("feed.moved address=%s:%d event=%d", *feed, self.members.event)
+        self.feed.event = self.members.event
+        self.feed.move(feed)
+
+    def pump(self) -> None:
+        """Carry out what the service asks, and set the timer anew."""
+        service, links = self.service, self.links
+        while service.actions:
+            actions, service.actions = service.actions, []
+            for action in actions:
+                match action:
+                    case act.SendSetUp(link, id_, kind, number, wait, description):
+                        links.write(link, isup.initial_address(id_, kind, number, wait, description))
+                    case act.SendRelease(link, id_, cause):
+                        links.write(link, isup.release(id_, cause))
+                    case act.SendComplete(link, id_):
+                        links.write(link, isup.release_complete(id_))
+                    case act.Respond():
+                        self.callers.respond(action)
+                    case act.ReleaseCaller():
+                        self.callers.release(action)
+                    case act.OpenLink(_, link, address, within):
+                        links.open(link, address, within)
+                    case act.CloseLink(link):
+                        links.close(link)
+                    case act.SendTest(link, id_):
+                        links.write(link, isup.user_part_test(id_, 1))
+                    case act.FetchAll():
+                        self.feed.fetch_all()
+                    case act.Log(event, text):
+                        log.info("%s %s", event, text)
+        due = service.next_due
+        if due < self._armed:
+            if self._handle is not None:
+                self.loop.remove_timeout(self._handle)
+            self._armed = due
+            self._handle = self.loop.call_later(max(0.0, (due - clock()) / 1000.0), self._due)
+
+    def _due(self) -> None:
+        self._armed, self._handle = inf, None
+        self.service.due(clock())
+        self.pump()
+
+    async def drain(self) -> None:
+        """Serve on until nothing can come any more and nothing is unanswered."""
+        self.draining = True
+        begun = self.loop.time()
+        log.info("node.draining unanswered=%d standing=%d", *self._held())
+        await asyncio.sleep(ARRIVALS)
+        self.callers.stop_listening()
+        while self.service.trying and self.loop.time() - begun < LAST_CALL:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)  # what was written leaves
+        self.feed.stop()
+        log.info("node.stopped unanswered=%d standing=%d", *self._held())
+
+    def _held(self) -> tuple[int, int]:
+        trying = len(self.service.trying)
+        return trying, len(self.service.calls) - trying
+
--- /dev/null
+++ b/dapplehinge/proxy/platform/run.py
@@ -0,0 +1,87 @@
+"""Start as the operators' platform starts a signalling proxy, and follow its signals.
+
+SIGHUP: the configuration file is read again and a new `feed` is followed; a file that makes no sense leaves
+the old one in force. SIGTERM: served on until nothing is unanswered, then exit 0. Logs go to standard error
+by the standard library: this front starts fast and small, without the libraries of the box.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import socket
+import sys
+
+from dapplehinge.platform.settings import SettingsError
+from dapplehinge.proxy.platform.config import Config, ConfigError, from_environment
+from dapplehinge.proxy.platform.node import Node
+
+BACKLOG = 512
+
+log = logging.getLogger("dapplehinge.run")
+
+
+def open_listener(address: tuple[str, int]) -> socket.socket:
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+async def serve(config: Config, sock: socket.socket) -> None:
+    node = Node(config, sock)
+    stopping = asyncio.Event()
+    drains: list[asyncio.Task[None]] = []
+
+    async def drain() -> None:
+        await node.drain()
+        stopping.set()
+
+    def stop() -> None:
+        if not drains:
+            drains.append(asyncio.ensure_future(drain()))
+
+    def reload() -> None:
+        try:
+            fresh = from_environment(os.environ)
+        except ConfigError as fault:
+            log.error("config.not_taken reason=%s", fault)
+            return
+        if fresh.feed != node.feed.address:
+            node.moved(fresh.feed)
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    node.start()
+    gc.collect()
+    gc.freeze()
+    await stopping.wait()
+
+
+def main() -> int:
+    """Exit codes: 0 drained, 2 the platform's variables or configuration make no sense."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be followed
+    logging.basicConfig(
+        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s"
+    )
+    logging.getLogger("tornado").setLevel(logging.ERROR)
+    try:
+        config = from_environment(os.environ)
+        sock = open_listener(config.listen)
+        asyncio.run(serve(config, sock))
+    except (ConfigError, SettingsError, ValueError, OSError) as fault:
+        log.error("node.not_started reason=%s", fault)
+        return 2
+    return 0
+
--- a/dapplehinge/wirehost.py
+++ b/dapplehinge/wirehost.py
@@ -5,17 +5,19 @@
 
 from __future__ import annotations
 
-import re
 import struct
 import sys
 from collections.abc import Callable
 from typing import Any, BinaryIO, TypeVar
 
 from dapplehinge import interface as api
+from dapplehinge.platform.settings import LOADS, Facts, SettingsError, pools_of, settings_from
 from dapplehinge.rules import Controller
 
 T = TypeVar("T")
 
+__all__ = ["Facts", "Host", "Instance", "encode", "main", "pools_of", "serve"]
+
 HEADER = struct.Struct(">IId")
 REPLY_HEADER = struct.Struct(">III")
 ENTRY = struct.Struct(">dfH6sHBH")
@@ -60,121 +62,12 @@
     3: api.Cause.PROCESSOR_FULL,
     4: api.Cause.LINES_ENGAGED,
 }
-LOADS = {
-    "idle": api.Load.FREE_CIRCUITS,
-    "circuits": api.Load.GROUP_SIZE,
-    "outstanding": api.Load.OUTSTANDING,
-    "backlog": api.Load.BACKLOG,
-    "utilization": api.Load.UTILIZATION,
-    "recent_ms": api.Load.WAIT,
-    "max_rate": api.Load.SET_UP_RATE,
-    "reduce": api.Load.HOLD_BACK,
-}
-REPEATS = {
-    "idempotent": api.Repeat.FREELY,
-    "deduplicated": api.Repeat.WITHIN_GROUP,
-    "at_most_once": api.Repeat.NEVER,
-}
-GROUPS = {"all": api.RepeatGroup.ALL, "zone": api.RepeatGroup.ZONE, "cell": api.RepeatGroup.EXCHANGE}
-LAYOUTS = {"network": api.Layout.NETWORK, "skills": api.Layout.POOLS}
 
 
 class WireError(Exception):
     """The input does not follow the wire."""
 
 
-class Facts:
-    """The settings of one instance, as path and value."""
-
-    def __init__(self, text: str) -> None:
-        self.values: dict[str, str] = {}
-        for line in text.splitlines():
-            if line.strip():
-                path, sign, value = line.partition("=")
-                if not sign:
-                    raise WireError(f"setting without a value: {line[:60]!r}")
-                if value.strip() != "null":  # absent
-                    self.values[path.strip()] = value.strip()
-
-    def text(self, path: str, default: str | None = None) -> str:
-        value = self.values.get(path, default)
-        if value is None:
-            raise WireError(f"required setting missing: {path}")
-        return value
-
-    def number(self, path: str, default: str | None = None) -> float:
-        text = self.text(path, default)
-        try:
-            return float(text)
-        except ValueError:
-            raise WireError(f"setting {path} is not a number: {text[:60]!r}") from None
-
-    def flag(self, path: str) -> bool:
-        return self.text(path, "false") == "true"
-
-    def pick(self, path: str, known: dict[str, T], default: str) -> T:
-        text = self.text(path, default)
-        if text not in known:
-            raise WireError(f"setting {path} has an unknown value: {text[:60]!r}")
-        return known[text]
-
-    def items(self, path: str) -> list[str]:
-        return [part for part in self.text(path, "").split(",") if part]
-
-
-def pools_of(facts: Facts, index: int) -> tuple[int, ...]:
-    """The pools of one class: a list of its own under its index, or one part of a joined list."""
-    own = facts.text(f"family_info.pools_by_class.{index}", "")
-    if not own:
-        joined = facts.text("family_info.pools_by_class", "")
-        parts = re.findall(r"\[([^\]]*)\]", joined) or joined.split(",")
-        own = parts[index] if index < len(parts) else ""
-    return tuple(int(part) for part in re.findall(r"\d+", own))
-
-
-def settings_from(facts: Facts) -> api.Settings:
-    classes = []
-    for index in range(int(facts.number("lanes.count"))):
-        base = f"lanes.{index}."
-        classes.append(
-            api.CallClass(
-                target=facts.number(base + "target"),
-                worth=facts.number(base + "worth", "1"),
-                late_worth=facts.number(base + "late_worth", "0"),
-                repeat=facts.pick(base + "repeat", REPEATS, "idempotent"),
-                repeat_group=facts.pick(base + "group", GROUPS, "all"),
-                repeat_window=facts.number(base + "window", "0"),
-                pools=pools_of(facts, index),
-            )
-        )
-    quotas = range(int(facts.number("tenants.count", "0")))
-    heeded = facts.flag("policy_limits.retry_after")
-    return api.Settings(
-        classes=tuple(classes),
-        own_exchange=int(facts.number("family_info.own_number", "-1")),
-        position=int(facts.number("position", "0")),
-        proxies=int(facts.number("n_instances")),
-        layout=facts.pick("family_info.layout", LAYOUTS, "network"),
-        guard=facts.number("family_info.guard"),
-        max_attempts=int(facts.number("policy_limits.max_attempts")),
-        round_span=facts.number("round"),
-        answer_grace=facts.number("contract.grace_to_answer"),
-        cold_share=facts.number("contract.cold_share"),
-        cold_span=facts.number("contract.cold"),
-        fall_multiple=facts.number("contract.fall_multiple"),
-        tip_after=facts.number("contract.tip_after"),
-        stop_sending_within=facts.number("contract.stop_sending_within"),
-        tenant_quotas=tuple(facts.number(f"tenants.{index}.quota_rps") for index in quotas),
-        over_share_worth=facts.number("over_share_worth", "1"),
-        must_ask_for_list=facts.text("discovery", "pushed") == "on_request",
-        ask_within=facts.number("contract.ask_within", "10000"),
-        may_cancel=facts.flag("policy_limits.cancel"),
-        may_probe=facts.flag("policy_limits.probes"),
-        may_tell_peers=facts.flag("policy_limits.peers"),
-        stay_away_heeded=facts.number("policy_limits.max_retry_after", "0") if heeded else 0.0,
-    )
-
-
 class Instance:
     """One controller and what its reports mean."""
 
@@ -441,7 +334,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except WireError as fault:
+    except (WireError, SettingsError) as fault:
         print(f"dapplehinge: {fault}", file=sys.stderr)
         return 2
     except BrokenPipeError:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,6 +15,10 @@
     "records": {"records"},
     "calls": {"calls", "iax2", "rules", "interface"},
     "config": {"config", "calls", "iax2", "limits", "records", "interface"},
+    "sip": {"sip"},
+    "isup": {"isup"},
+    "platform": {"platform", "sip", "isup", "calls", "rules", "interface"},
+    "proxy/platform": {"proxy", "platform", "sip", "isup"},
     "proxy": {"proxy", "config", "calls", "limits", "membership", "records", "iax2", "interface"},
     "audit": {"audit", "iax2"},
 }
@@ -38,7 +42,7 @@
                 assert parts[1] in ALLOWED[package], f"{file.name} imports {name}"
 
 
-@pytest.mark.parametrize("package", ["iax2", "limits", "membership", "calls", "records"])
+@pytest.mark.parametrize("package", ["iax2", "limits", "membership", "calls", "records", "sip", "isup", "platform"])
 def test_nothing_below_the_proxy_does_io(package):
     for file in (ROOT / package).glob("*.py"):
         assert not {name.split(".")[0] for name in imports(file)} & NO_IO, file.name
@@ -48,6 +52,12 @@
     ("module", "barred"),
     [
         ("dapplehinge.wirehost", ["tornado", "click", "pydantic", "structlog", "cryptography", "msgspec"]),
+        ("dapplehinge.platform.settings", ["tornado", "click", "pydantic", "structlog", "socket", "asyncio"]),
+        (
+            "dapplehinge.proxy.platform.run",
+            ["pydantic", "cryptography", "numpy", "click", "rich", "structlog", "msgspec", "dapplehinge.iax2"],
+        ),
+        ("dapplehinge.__main__", ["click", "pydantic", "tornado"]),
         ("dapplehinge.proxy.run", ["numpy", "scipy", "matplotlib", "polars", "hdrh"]),
         ("dapplehinge.cli.main", ["numpy", "matplotlib", "tornado", "rich"]),
     ],
