Connections closed while they were read no longer count as room; drain closes idle callers

Seen under bad clients: descriptors 384 of 384, EMFILE in the accept loop, releases told too late. The cause: a reader that woke after its connection was closed put it back among those that may make room. Releases now go to connections on which a call stood, not to whoever offered one. At a planned restart calls in transit kept coming on open connections until the exit cut them off (25 lost): each is now closed when it carries none.

--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -9,12 +9,14 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import logging
 import socket
 from collections.abc import Callable
 from typing import Any
 
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
-from tornado.netutil import add_accept_handler
 
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
@@ -25,13 +27,17 @@
 CHUNK = 16 * 1024
 MOST_UNREAD = 64 * 1024
 MOST_UNSENT = 256 * 1024
+BATCH = 32  # connections accepted at one go
+REST = 0.05  # seconds without accepting when descriptors are short
 SILENCE = 2000.0  # ms
 FIRST_PAUSE, MOST_PAUSE = 0.02, 1.0  # seconds that a connection is not read after nonsense, doubling
 OWED_FOR = 8000.0  # ms that a release is kept for a caller who has no connection
 
+log = logging.getLogger("dapplehinge.callers")
+
 
 class Caller:
-    __slots__ = ("number", "stream", "reader", "opened", "heard", "since", "proven", "pause", "byes")
+    __slots__ = ("number", "stream", "reader", "opened", "heard", "since", "pause", "byes")
 
     def __init__(self, number: int, stream: IOStream, now: float) -> None:
         self.number = number
@@ -40,7 +46,6 @@
         self.opened = now
         self.heard = False  # a whole message came
         self.since = now  # when the message that is not whole yet began
-        self.proven = False  # a set-up that makes sense came
         self.pause = 0.0
         self.byes: dict[str, act.ReleaseCaller] = {}  # sent, and not heard to be received
 
@@ -68,25 +73,53 @@
         self.owed: dict[int, tuple[act.ReleaseCaller, float]] = {}
         self.refused = 0
         self._numbers = 0
-        self._stop: Callable[[], None] | None = None
         self._listening: socket.socket | None = None
 
     # Connections
 
     def listen(self, sock: socket.socket) -> None:
         self._listening = sock
-        self._stop = add_accept_handler(sock, self._accept)
+        IOLoop.current().add_handler(sock, self._accept_some, IOLoop.READ)
 
     def stop_listening(self) -> None:
-        if self._stop is not None and self._listening is not None:
-            self._stop()
-            self._listening.close()
-            self._stop = None
+        sock, self._listening = self._listening, None
+        if sock is not None:
+            IOLoop.current().remove_handler(sock)
+            sock.close()
+
+    def _accept_some(self, listening: Any, events: int) -> None:
+        for _ in range(BATCH):
+            if self._listening is None:
+                return
+            try:
+                sock, _ = self._listening.accept()
+            except BlockingIOError:
+                return
+            except OSError as fault:
+                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self._rest()
+                    return
+                continue  # it has gone again
+            self._accept(sock)
+
+    def _rest(self) -> None:
+        """No descriptor is left: make room, and leave the queue alone for a moment instead of spinning."""
+        log.warning("callers.no_descriptor connections=%d", len(self.conns))
+        self._make_room()
+        loop, listening = IOLoop.current(), self._listening
+        if listening is not None:
+            loop.remove_handler(listening)
+            loop.call_later(REST, self._go_on, listening)
+
+    def _go_on(self, listening: socket.socket) -> None:
+        if self._listening is listening:
+            IOLoop.current().add_handler(listening, self._accept_some, IOLoop.READ)
 
-    def _accept(self, sock: socket.socket, address: Any) -> None:
+    def _accept(self, sock: socket.socket) -> None:
         if len(self.conns) >= self.most() and not self._make_room():
             sock.close()
             return
+        sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(
             sock, max_buffer_size=MOST_UNREAD, read_chunk_size=CHUNK, max_write_buffer_size=MOST_UNSENT
@@ -97,9 +130,10 @@
         asyncio.ensure_future(self._serve(caller))
 
     def _make_room(self) -> bool:
+        """Close one that carries no set-up: silent before used, the oldest first."""
         for pool in (self.partial, self.conns):
             for caller in pool.values():
-                if caller.number not in self.service.conns and not (pool is self.conns and caller.byes):
+                if caller.number not in self.service.conns:
                     self._close(caller)
                     return True
         return False
@@ -133,6 +167,8 @@
         try:
             while True:
                 data = await stream.read_bytes(CHUNK, partial=True)
+                if caller.number not in self.conns:
+                    return  # closed, with something left to read
                 messages, fault = reader.feed(data)
                 now = self.clock()
                 nonsense = False
@@ -170,6 +206,13 @@
             return False
         return True
 
+    def close_idle(self) -> bool:
+        """Close what carries no set-up; True if nothing is left."""
+        for caller in list(self.conns.values()):
+            if caller.number not in self.service.conns:
+                self._close(caller)
+        return not self.conns
+
     # Messages
 
     def _take(self, caller: Caller, message: sip.Message, now: float) -> bool:
@@ -201,14 +244,18 @@
         if not self.service.offered(caller.number, offer, echo, now):
             self._write(caller, sip.response(482, echo))
             return False
-        caller.proven = True
+        if offer.standing_at:
+            self._prove(caller)
+        return True
+
+    def _prove(self, caller: Caller) -> None:
+        """A call stands that came on it, so that it is a caller who can be told of releases."""
         self.proven.pop(caller.number, None)
         self.proven[caller.number] = caller
         if self.owed:
             owed, self.owed = self.owed, {}
             for action, _ in owed.values():
                 self.release(action)
-        return True
 
     def _end(self, caller: Caller, message: sip.Message, now: float) -> bool:
         try:
@@ -230,6 +277,8 @@
         if caller is not None:
             gap = b"P-Gap-Ms: %d\r\n" % action.gap if action.gap >= 1 else b""
             self._write(caller, sip.response(action.status, action.echo, gap, action.body))
+            if action.status == 200:
+                self._prove(caller)
 
     def release(self, action: act.ReleaseCaller) -> None:
         caller = self.conns.get(action.conn)
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -133,8 +133,9 @@
         log.info("node.draining unanswered=%d standing=%d", *self._held())
         await asyncio.sleep(ARRIVALS)
         self.callers.stop_listening()
-        while self.service.trying and self.loop.time() - begun < LAST_CALL:
-            await asyncio.sleep(0.02)
+        # calls in transit come for as long as connections are open: each is closed when it carries none
+        while not self.callers.close_idle() and self.loop.time() - begun < LAST_CALL:
+            await asyncio.sleep(0.005)
         await asyncio.sleep(0.05)  # what was written leaves
         self.feed.stop()
         log.info("node.stopped unanswered=%d standing=%d", *self._held())
