--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -52,6 +52,9 @@
 DELAY_SHARE = 0.14  # C as a share of the tightest class target: a queue must show long before that
 RATE_CALLS = 8  # calls (K): span of the rate estimate; small, as the paper prefers, to react quickly
 EPSILON_SHARE = 0.1  # epsilon as a share of the first term, so it always lies below it
+PATH_TIMES = 1.6  # C is at least the way's own delay this many times: what the net takes is no queue
+PATH_MOST = 4.0  # but at most this many C: a far end that is slow from the start must show
+PATH_FORGET = 1.001  # growth of that delay with each call that stands, so that a way which lengthens is learnt
 MU_SPANS = 4.0  # window of the service rate mu, in C: holds a few set-ups
 RESERVE_ROOTS = 0.6  # trunk reservation in roots of the group size: two legs displace two direct calls
 WAIT_SHARE = 0.6  # how long a call may wait at home for a route, as a share of its class target
@@ -90,18 +93,27 @@
     stood: deque[float] = field(default_factory=deque)
     turned_back: int = 0  # calls that the tandem turned back, while none got through yet; then -1
     rests_until: float = -1.0  # how long it is left alone for a turn-back
+    path: float = 0.0  # the way's own delay: the shortest a set-up took that stood; 0: not known yet
 
     def shut(self, now: float, limit: float) -> bool:
         """Evidence counts by when a set-up was sent: the late end of an old one undoes nothing newer.
 
         A set-up still out shuts the rung as soon as C has passed; looking at use equals a timer.
         """
-        while self.young and now - self.young[0][0] > limit:  # each is judged once, however many are out
+        allowed = self.allowed(limit)
+        while self.young and now - self.young[0][0] > allowed:  # each is judged once, however many are out
             sent, call = self.young.popleft()
             if self.out.get(call) == sent:
                 self.went_bad(sent)
         return self.bad_sent > self.good_sent and now <= self.opens(limit)
 
+    def allowed(self, limit: float) -> float:
+        """C as it holds here: never so short that the way alone takes it up.
+
+        Guards against far ends that look slow since the net between is: there C alone would shut for good.
+        """
+        return max(limit, min(PATH_TIMES * self.path, PATH_MOST * limit))
+
     def opens(self, limit: float) -> float:
         """When a shut rung with nothing out opens by rest alone.
 
@@ -236,8 +248,9 @@
         call = self.calls.get(event.call)
         if call is None or call.rung is None or call.out_to != event.switch:
             return
-        rung = call.rung
-        if self.now - call.sent <= self.limit:
+        rung, took = call.rung, self.now - call.sent
+        rung.path = min(took, PATH_FORGET * rung.path) if rung.path else took
+        if took <= rung.allowed(self.limit):
             rung.good_sent = max(rung.good_sent, call.sent)
             rung.stood.append(self.now)
             rung.service_rate(self.now, MU_SPANS * self.limit)  # lets go of what its window has passed
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -197,3 +197,36 @@
     assert sent(proxy.offer(1)) == [3]
     proxy.free(2, 9, 40)
     assert sent(proxy.offer(1)) == [2]
+
+
+def test_limit_is_never_so_short_that_the_way_alone_takes_it_up(proxy):
+    limit = proxy.controller.limit
+    proxy.offer(1)
+    proxy.wait(1.2 * limit)
+    proxy.stands(1, 1)  # slow, but the shortest that was ever seen: so long is the way
+    assert sent(proxy.offer(1)) == [1]
+    proxy.wait(1.5 * limit)
+    assert sent(proxy.offer(1)) == [1]
+    proxy.wait(0.5 * limit)
+    assert sent(proxy.offer(1)) == []  # far beyond what the way takes
+
+
+def test_a_far_end_slow_from_the_start_shuts_all_the_same(proxy):
+    limit = proxy.controller.limit
+    proxy.offer(1)
+    proxy.wait(6 * limit)
+    proxy.stands(1, 1)
+    assert sent(proxy.offer(1)) == []
+
+
+def test_a_shorter_way_is_learnt_at_once(proxy):
+    limit = proxy.controller.limit
+    proxy.offer(1)
+    proxy.wait(0.9 * limit)
+    proxy.stands(1, 1)
+    proxy.offer(1)
+    proxy.wait(0.1 * limit)
+    proxy.stands(2, 1)
+    proxy.offer(1)
+    proxy.wait(1.1 * limit)
+    assert sent(proxy.offer(1)) == []
