A link that stays open and says nothing is replaced; calls at a silent switch end in time

Ruled out: the switch (others reach it), circuits, the loop's lateness. At fault: the service took an open link for a good one. Now a link on which nothing is heard within half the connect time-out after a set-up (its group's state changes at least) is not trusted, another is made, and once that is heard the first is closed. A switch that is quiet for 1.5 s is asked by a new connection, one without any sign for 6.5 s ends its calls (8 s are given).

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -40,6 +40,16 @@
 LINKS = 4
 """Most links to one switch, by the platform's protocol."""
 
+QUIET = 1500.0
+"""ms without a word from a switch after which a new connection is tried: that brings the group's state."""
+
+SILENT = 6500.0
+"""ms without any sign of a switch after which its calls are over. The protocol gives 8 s from the end of a
+call whose release could not be sent, and it may have ended as the silence began."""
+
+WATCH = 500.0
+"""ms between two looks at which switches are quiet."""
+
 MOST_RELEASES = 4096
 """Releases kept for a switch to which no link is up."""
 
@@ -120,6 +130,9 @@
     gone: bool = False
     links: dict[int, set[int]] = field(default_factory=dict)  # link that is up -> calls out on it
     since: dict[int, float] = field(default_factory=dict)  # when it came up
+    heard: dict[int, float] = field(default_factory=dict)  # when something came on it last
+    suspect: set[int] = field(default_factory=set)  # links that are up and say nothing though they should
+    last_heard: float = 0.0  # on any link
     opening: int = 0  # link that is being made
     failures: int = 0
     refused_since: float = inf
@@ -133,6 +146,7 @@
         settings = settings_from(facts)
         self.controller = Controller(settings, seed)
         self.connect_within = facts.number("policy_limits.connect_timeout", "500")
+        self.answers_within = self.connect_within / 2.0
         self.interlock = Interlock(settings.guard, 0.0, MARGIN)
         self.calls: dict[int, Call] = {}  # by id, trying and standing
         self.trying: dict[int, Call] = {}  # by the module's number
@@ -164,11 +178,12 @@
         self.now = now
         for action in self.controller.start(now):
             self._carry_out(action)
+        self._at(now + WATCH, "watch")
 
     def due(self, now: float) -> None:
         self.now = now
         while self._agenda and self._agenda[0][0] <= now:
-            _, _, what, first, second = heappop(self._agenda)
+            when, _, what, first, second = heappop(self._agenda)
             if what == "timer":
                 self._events.append(api.TimerDue(first))
             elif what == "attempt":
@@ -181,8 +196,12 @@
                     self._send(call, call.out)
             elif what == "open":
                 peer = self.peers.get(first)
-                if peer is not None and not peer.links and not peer.opening:
+                if peer is not None and not self._link(peer) and not peer.opening:
                     self._open(peer)
+            elif what == "unheard":
+                self._unheard(first, when - self.answers_within)
+            elif what == "watch":
+                self._watch()
             elif what == "test":
                 self._test_ended(first, False, ())
             self._run()
@@ -201,7 +220,8 @@
             self.interlock.told(member.number, state is api.SwitchState.READY, now)
             peer = self.peers.get(member.number)
             if peer is None and state is not api.SwitchState.GONE:
-                peer = self.peers[member.number] = Peer(member.number, member.id, member.address)
+                peer = Peer(member.number, member.id, member.address, last_heard=now)
+                self.peers[member.number] = peer
                 self.by_id[member.id] = peer
                 self._open(peer)
             elif peer is not None:
@@ -240,7 +260,7 @@
             return
         peer.opening = 0
         peer.links[link] = set()
-        peer.since[link] = now
+        peer.since[link] = peer.heard[link] = now
         peer.refused_since = inf
         while peer.releases:
             id_, cause = peer.releases.popleft()
@@ -259,6 +279,8 @@
         peer.opening = 0
         self._open_later(peer)
         peer.refused_since = min(peer.refused_since, now) if refused else inf
+        if refused and peer.suspect:  # what says nothing belongs to a process that is gone
+            self._drop_suspects(peer)
         if not peer.links and now - peer.refused_since >= DEAD_AFTER:
             self._cut_standing(peer)
         for call in list(peer.wanting.values()):
@@ -275,10 +297,11 @@
             self.link_failed(link, False, now)
             return
         lived = now - peer.since[link]
+        peer.last_heard = max(peer.last_heard, now if lived >= MOST_GAP else 0.0)
         if lived >= MOST_GAP:
             peer.failures = 0
         self._drop_link(peer, link)
-        if not peer.links and not peer.opening and not peer.gone:
+        if not self._link(peer) and not peer.opening and not peer.gone:
             if peer.failures == 0:
                 peer.failures = 1
                 self._open(peer)
@@ -294,6 +317,8 @@
     def _drop_link(self, peer: Peer, link: int) -> None:
         self.link_peer.pop(link, None)
         peer.since.pop(link, None)
+        peer.heard.pop(link, None)
+        peer.suspect.discard(link)
         if peer.opening == link:
             peer.opening = 0
         for id_ in list(peer.links.pop(link, ())):
@@ -302,11 +327,59 @@
                 self._end_attempt(call, api.Outcome.CUT)
 
     def _link(self, peer: Peer) -> int:
-        return min(peer.links, key=lambda link: len(peer.links[link]), default=0)
+        """The link for what goes out now; 0 where none is up that can be trusted."""
+        links = [link for link in peer.links if link not in peer.suspect] if peer.suspect else peer.links
+        return min(links, key=lambda link: len(peer.links[link]), default=0)
+
+    # Links that are up and silent
+
+    def heard(self, link: int, now: float) -> None:
+        """Something that can be read came on a link."""
+        self.now = now
+        peer = self.link_peer.get(link)
+        if peer is not None and link in peer.links:
+            peer.heard[link] = peer.last_heard = now
+            if peer.suspect:
+                peer.suspect.discard(link)
+                self._drop_suspects(peer)
+                self._run()
+
+    def _drop_suspects(self, peer: Peer) -> None:
+        """Another link works: what is out on the silent ones is cut, their releases come on the new one."""
+        for link in sorted(peer.suspect):
+            self._drop_link(peer, link)
+            self.actions.append(act.CloseLink(link))
+
+    def _unheard(self, link: int, sent: float) -> None:
+        """A set-up went out on a link some time ago; at the least the group's state should have changed.
+
+        Guards against connections that stay open and are of no further use: a message that stopped short, a
+        far end that has forgotten it. A new connection tells which of link and switch is silent.
+        """
+        peer = self.link_peer.get(link)
+        if peer is not None and link in peer.links and peer.heard[link] <= sent:
+            peer.suspect.add(link)
+            self._try_another(peer)
+
+    def _try_another(self, peer: Peer) -> None:
+        if not peer.opening and len(peer.links) < LINKS and len(peer.suspect) == len(peer.links):
+            self._open(peer)
+
+    def _watch(self) -> None:
+        self._at(self.now + WATCH, "watch")
+        for peer in list(self.peers.values()):
+            if self.now - peer.last_heard < QUIET:
+                continue
+            peer.suspect.update(link for link in peer.links if self.now - peer.heard[link] >= QUIET)
+            if peer.links:
+                self._try_another(peer)
+            if peer.standing and self.now - peer.last_heard >= SILENT:
+                peer.releases.extend((id_, Cause.TEMPORARY_FAILURE) for id_ in sorted(peer.standing))
+                self._cut_standing(peer)
 
     def _release(self, peer: Peer, link: int, id_: int, cause: int) -> None:
         """To the link of its set-up, else any, else the next one that is made."""
-        use = link if link in peer.links else self._link(peer)
+        use = link if link in peer.links else self._link(peer) or max(peer.links, default=0)
         if use:
             self.actions.append(act.SendRelease(use, id_, cause))
         elif not peer.gone:
@@ -621,6 +694,7 @@
         attempt.link = link
         peer.links[link].add(call.id)
         wait = attempt.due - self.now
+        self._at(self.now + self.answers_within, "unheard", link)
         self.actions.append(
             act.SendSetUp(link, call.id, offer.kind, offer.number, wait, offer.description)
         )
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -91,6 +91,8 @@
                 data = await stream.read_bytes(CHUNK, partial=True)
                 messages, fault_ = reader.feed(data)
                 now = self.clock()
+                if messages:
+                    self.service.heard(link, now)
                 for message in messages:
                     self._take(link, message, now)
                 if fault_ is not None:
--- a/tests/platform_kit.py
+++ b/tests/platform_kit.py
@@ -133,10 +133,13 @@
         return self.taken()
 
     def answered(self, call: int = 0x11, place: int = 1, text: bytes = b"there") -> list[act.Action]:
+        self.now += 1
+        self.service.heard(self.link(place), self.now)
         self.service.answered(self.link(place), call, text, self.now)
         return self.taken()
 
     def released(self, call: int = 0x11, place: int = 1, cause: int = 16, note: str = "") -> list[act.Action]:
+        self.service.heard(self.link(place), self.now)
         self.service.released(self.link(place), call, cause, note, (), self.now)
         return self.taken()
 
