Calls to the own exchange are the module's to refuse, at once; room is made without resets

They go to the module now, which refuses them at once: it held them until their patience ended, though no wait brings a route. Seen on crowd: one call lost on a connection that was closed to make room with its set-up unread. Such ones are passed over now, and the one unused for longest goes first.

--- a/dapplehinge/platform/offers.py
+++ b/dapplehinge/platform/offers.py
@@ -59,7 +59,6 @@
         self.tenants = {facts.text(f"tenants.{each}.name", str(each)): each for each in tenants}
         widths = [int(float(part)) for part in facts.items("family_info.channels_needed")]
         self.widest = max(widths, default=MOST_EXCHANGE)
-        self.own = int(facts.number("family_info.own_number", "-1"))
 
     def read(self, message: Message) -> Offer:
         """The set-up of an INVITE; `OfferError` names what is wrong with it."""
@@ -85,8 +84,6 @@
         if "dest" not in path and not at:
             raise OfferError("P-Path without dest")
         destination = self._whole(path, "dest", "0", 0, MOST_EXCHANGE)
-        if destination == self.own and not at:
-            raise OfferError("P-Path dest is the own exchange")
         left = fields.get("p-time-left", "0" if at else "")
         if not DECIMAL.match(left) or not at and not 0 < float(left) <= self.longest[lane]:
             raise OfferError(f"P-Time-Left {left[:40]!r}: up to {self.longest[lane]:g} ms are possible")
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -14,6 +14,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 from tornado.ioloop import IOLoop
@@ -28,6 +29,7 @@
 CHUNK = 16 * 1024
 MOST_UNREAD = 64 * 1024
 MOST_UNSENT = 256 * 1024
+MOST_LOOKS = 64  # connections looked at for room at one go
 BATCH = 32  # connections accepted at one go
 REST = 0.05  # seconds without accepting when descriptors are short
 FINISH = 100.0  # ms that a caller gets to close his end
@@ -133,10 +135,13 @@
         asyncio.ensure_future(self._serve(caller))
 
     def _make_room(self) -> bool:
-        """Close one that carries no set-up: silent before used, the oldest first."""
+        """Close one that carries no set-up: silent before used, the one unused for longest first.
+
+        One with something unread is passed over: that may be a set-up, and closing would reset it.
+        """
         for pool in (self.partial, self.conns):
-            for caller in pool.values():
-                if caller.number not in self.service.conns:
+            for caller in islice(pool.values(), MOST_LOOKS):
+                if caller.number not in self.service.conns and nothing_unread(caller.stream):
                     self._close(caller)
                     return True
         return False
@@ -186,6 +191,7 @@
                 if messages:
                     caller.heard = True
                     caller.since = now
+                    self.conns[caller.number] = self.conns.pop(caller.number)  # used last
                 if reader.amid:
                     if caller.number not in self.partial:
                         caller.since = now
@@ -222,16 +228,12 @@
             if caller.finishing:
                 if now - caller.since >= FINISH:
                     self._close(caller)
-            elif caller.number not in self.service.conns and not caller.stream.writing():
-                sock = caller.stream.socket
-                try:
-                    sock.recv(1, socket.MSG_PEEK)
-                except BlockingIOError:
-                    caller.finishing, caller.since = True, now
-                    with contextlib.suppress(OSError):
-                        sock.shutdown(socket.SHUT_WR)
-                except OSError:
-                    self._close(caller)
+                continue
+            idle = caller.number not in self.service.conns and not caller.stream.writing()
+            if idle and nothing_unread(caller.stream):
+                caller.finishing, caller.since = True, now
+                with contextlib.suppress(OSError):
+                    caller.stream.socket.shutdown(socket.SHUT_WR)
         return not self.conns
 
     # Messages
@@ -315,6 +317,13 @@
                 del caller.byes[next(iter(caller.byes))]
 
 
+def nothing_unread(stream: IOStream) -> bool:
+    try:
+        return not stream.socket.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True  # nothing is there, or the connection has gone
+
+
 def released_with(message: sip.Message) -> int:
     """The Q.850 cause of a BYE; normal clearing where none is told (RFC 3326)."""
     _, sign, value = message.fields.get("reason", "").partition("cause=")
--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -411,7 +411,11 @@
         if switch_id is not None:
             self.stop_waiting(call)
             self.send(call, switch_id)
-        elif offer.in_transit or self.now >= (patience := self.wait_until(call)):
+        elif (
+            offer.in_transit
+            or offer.destination == self.settings.own_exchange  # no wait brings a route to it
+            or self.now >= (patience := self.wait_until(call))
+        ):
             self.refuse(call)
         else:
             self.waiting.setdefault(offer.destination, {})[offer.call] = call
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -230,3 +230,7 @@
     proxy.offer(1)
     proxy.wait(1.1 * limit)
     assert sent(proxy.offer(1)) == []
+
+
+def test_a_call_to_the_own_exchange_is_refused_at_once(proxy):
+    assert kinds(proxy.offer(0)) == [api.Refuse]
--- /dev/null
+++ b/tests/test_platform_callers.py
@@ -0,0 +1,99 @@
+"""Room for callers: which connection gives way when the descriptors are used up, on real sockets."""
+
+import asyncio
+import socket
+
+from dapplehinge.proxy.platform.callers import Callers
+from tests.platform_kit import Rig, invite
+from tests.test_platform_live import PATIENCE
+
+
+def played(scenario):
+    async def run():
+        rig = Rig()
+        rig.now = 0.0
+        callers = Callers(rig.service, rig.offers, "n3", lambda: rig.now, lambda: None, lambda: 3)
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setblocking(False)
+        callers.listen(sock)
+        try:
+            await asyncio.wait_for(scenario(rig, callers, sock.getsockname()), PATIENCE)
+        finally:
+            callers.stop_listening()
+            for caller in list(callers.conns.values()):
+                caller.stream.close()
+
+    asyncio.run(run())
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+def said(call, path="dest:1;width:1;via:-1"):
+    message = invite(call, path)
+    return (
+        f"INVITE sip:aa@net SIP/2.0\r\nCall-ID: {message.call_id}\r\nCSeq: 1 INVITE\r\nP-Kind: voice\r\n"
+        f"P-Billed: acme\r\nP-Time-Left: 3000\r\nP-Path: {path}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+def test_silent_ones_make_room_and_one_with_a_set_up_never_does():
+    async def scenario(rig, callers, addr):
+        _, used = await asyncio.open_connection(*addr)
+        used.write(said(0x11))
+        await until(lambda: rig.service.trying)
+        silent = [await asyncio.open_connection(*addr) for _ in range(2)]
+        await until(lambda: len(callers.conns) == 3)
+        more = [await asyncio.open_connection(*addr) for _ in range(2)]
+        for reader, _ in silent:
+            assert await reader.read() == b""
+        await until(lambda: len(callers.conns) == 3)
+        assert rig.service.trying and len(more) == 2
+
+    played(scenario)
+
+
+def test_one_with_something_unread_is_passed_over():
+    async def scenario(rig, callers, addr):
+        _, writer = await asyncio.open_connection(*addr)
+        await until(lambda: callers.conns)
+        [caller] = callers.conns.values()
+        writer.write(said(0x11))
+        await writer.drain()
+        while not caller.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+            pass
+        assert not callers._make_room()  # in the same turn, before the loop has read it
+        await until(lambda: rig.service.trying)
+
+    played(scenario)
+
+
+def test_a_release_goes_to_a_connection_on_which_a_call_stood():
+    async def scenario(rig, callers, addr):
+        first, writer = await asyncio.open_connection(*addr)
+        writer.write(said(0x11, "at:s-1"))
+        await until(lambda: callers.proven)
+        stranger, other = await asyncio.open_connection(*addr)
+        other.write(said(0x12))
+        await until(lambda: rig.service.trying)
+        writer.close()
+        await until(lambda: not callers.proven)
+        rig.released(0x11)
+        for action in rig.taken():
+            callers.release(action)
+        rig.service.actions.clear()
+        callers.release(_bye(0x11))
+        assert 0x11 in callers.owed  # nobody who is known to be a caller is there
+        again, third = await asyncio.open_connection(*addr)
+        third.write(said(0x13, "at:s-1"))
+        assert b"BYE sip:" in await again.read(1000) and not callers.owed
+
+    played(scenario)
+
+
+def _bye(call):
+    from dapplehinge.platform.actions import ReleaseCaller
+
+    return ReleaseCaller(1, call, "aa", 16)
