A refusal says when to come back: one target of its class, where callers heed it

At fault: Controller.refuse. One target kept: sooner, the same is in the way, and later the call is worth nothing to its caller.

--- a/dapplehinge/cli/main.py
+++ b/dapplehinge/cli/main.py
@@ -76,6 +76,14 @@
         fail([f"{file}: can not listen on {box.listen[0]}:{box.listen[1]}: {fault.strerror}"])
 
 
+@main.command()
+def platform() -> None:
+    """Serve on the operators' platform, as BALANCER_CONFIG and its companions tell, until SIGTERM drains it."""
+    from dapplehinge.proxy.platform.run import main as run_platform
+
+    sys.exit(run_platform())
+
+
 @main.command("check-config")
 @click.argument("file", type=FILE)
 def check_config(file: Path) -> None:
--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -677,7 +677,16 @@
             self.end_failed(call)  # a refusal would say that it never ran
             return
         self.forget(call.offer.call)
-        self.out.append(Refuse(call.offer.call))
+        self.out.append(Refuse(call.offer.call, self.stay_away(call)))
+
+    def stay_away(self, call: Call) -> float:
+        """How long its caller is asked to keep away: the target, since sooner the same is in the way.
+
+        Guards against redials that come at once and take up the processor that has no time for calls. It
+        may hurt where the way is free in a moment: such a call is late then.
+        """
+        target = self.settings.classes[call.offer.call_class].target
+        return 0.0 if call.offer.in_transit else min(target, self.settings.stay_away_heeded)
 
     def end_failed(self, call: Call) -> None:
         self.forget(call.offer.call)
--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -234,3 +234,11 @@
 
 def test_a_call_to_the_own_exchange_is_refused_at_once(proxy):
     assert kinds(proxy.offer(0)) == [api.Refuse]
+
+
+def test_a_refusal_says_when_to_come_back_where_callers_heed_it():
+    for heeded, span in ((0.0, 0.0), (5000.0, 2000.0), (900.0, 900.0)):
+        proxy = Proxy(stay_away_heeded=heeded)
+        assert proxy.offer(0)[0] == api.Refuse(1, span)  # the class's target is 2,000 ms
+        transit = proxy.offer(0, in_transit=True)
+        assert transit[0] == api.Refuse(2, 0.0)  # the proxy that sent it on has other ways
