--- a/dapplehinge/cli/main.py
+++ b/dapplehinge/cli/main.py
@@ -78,7 +78,7 @@
 
 @main.command()
 def platform() -> None:
-    """Serve on the operators' platform, as BALANCER_CONFIG and its companions tell, until SIGTERM drains it."""
+    """Serve on the operators' platform, as BALANCER_CONFIG tells, until SIGTERM drains it."""
     from dapplehinge.proxy.platform.run import main as run_platform
 
     sys.exit(run_platform())
