A stream that closed a moment ago no longer stops the accept loop or a drain

At fault: nothing_unread asked the socket of a stream that was closed while its reader had not been told yet. A test closes a stream and makes room, or ends a drain, in the same turn; it fails without the mend.

--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -230,7 +230,9 @@
                     self._close(caller)
                 continue
             idle = caller.number not in self.service.conns and not caller.stream.writing()
-            if idle and nothing_unread(caller.stream):
+            if caller.stream.closed():
+                self._close(caller)
+            elif idle and nothing_unread(caller.stream):
                 caller.finishing, caller.since = True, now
                 with contextlib.suppress(OSError):
                     caller.stream.socket.shutdown(socket.SHUT_WR)
@@ -318,6 +320,9 @@
 
 
 def nothing_unread(stream: IOStream) -> bool:
+    """No byte waits in the socket; a closed stream has none any more, though its reader may not know yet."""
+    if stream.closed():
+        return True
     try:
         return not stream.socket.recv(1, socket.MSG_PEEK)
     except OSError:
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -70,6 +70,19 @@
     played(scenario)
 
 
+def test_streams_that_closed_a_moment_ago_are_room_and_end_a_drain():
+    async def scenario(rig, callers, addr):
+        for step in (callers._make_room, callers.finish_idle):
+            _, writer = await asyncio.open_connection(*addr)
+            await until(lambda: callers.conns)
+            [caller] = callers.conns.values()
+            caller.stream.close()  # its reader is told in a later turn
+            assert step() and not callers.conns
+            writer.close()
+
+    played(scenario)
+
+
 def test_a_release_goes_to_a_connection_on_which_a_call_stood():
     async def scenario(rig, callers, addr):
         first, writer = await asyncio.open_connection(*addr)
