After a link is lost another is made though some are left, for the releases that were on it

A switch says a release on the link of its set-up and on the next one that is made: with a second link up none was made. At fault: link_lost and _drop_suspects. A look at a link that comes late, as the loop was busy, is taken again 20 ms later, so that what waits in the socket counts.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -50,6 +50,9 @@
 WATCH = 500.0
 """ms between two looks at which switches are quiet."""
 
+LATE = 20.0
+"""ms after which a look at a link counts as late: the loop was busy, and something may wait to be read."""
+
 MOST_RELEASES = 4096
 """Releases kept for a switch to which no link is up."""
 
@@ -134,6 +137,7 @@
     suspect: set[int] = field(default_factory=set)  # links that are up and say nothing though they should
     last_heard: float = 0.0  # on any link
     opening: int = 0  # link that is being made
+    again: bool = False  # one more is to be made after it
     failures: int = 0
     refused_since: float = inf
     wanting: dict[int, Call] = field(default_factory=dict)
@@ -196,10 +200,12 @@
                     self._send(call, call.out)
             elif what == "open":
                 peer = self.peers.get(first)
-                if peer is not None and not self._link(peer) and not peer.opening:
+                if peer is not None and not peer.opening and len(peer.links) < LINKS:
                     self._open(peer)
+            elif what == "unheard" and now - when > LATE:  # what came meanwhile is read first
+                self._at(now + LATE, "unheard", first, second)
             elif what == "unheard":
-                self._unheard(first, when - self.answers_within)
+                self._unheard(first, second)
             elif what == "watch":
                 self._watch()
             elif what == "test":
@@ -262,6 +268,9 @@
         peer.links[link] = set()
         peer.since[link] = peer.heard[link] = now
         peer.refused_since = inf
+        if peer.again:
+            peer.again = False
+            self._open_later(peer)
         while peer.releases:
             id_, cause = peer.releases.popleft()
             self.actions.append(act.SendRelease(link, id_, cause))
@@ -301,14 +310,25 @@
         if lived >= MOST_GAP:
             peer.failures = 0
         self._drop_link(peer, link)
-        if not self._link(peer) and not peer.opening and not peer.gone:
-            if peer.failures == 0:
-                peer.failures = 1
-                self._open(peer)
-            else:
-                self._open_later(peer)
+        self._make_up(peer)
         self._run()
 
+    def _make_up(self, peer: Peer) -> None:
+        """A link has gone: make another, also where some are left.
+
+        A switch sends a release on the link of its set-up and on the next one that is made, so what was on
+        its way on the one that has gone comes on a new one only.
+        """
+        if peer.gone:
+            return
+        if peer.opening:
+            peer.again = True
+        elif peer.failures == 0:
+            peer.failures = 1
+            self._open(peer)
+        else:
+            self._open_later(peer)
+
     def _open_later(self, peer: Peer) -> None:
         gap = min(MOST_GAP, FIRST_GAP * 2.0 ** min(peer.failures, 8))
         peer.failures += 1
@@ -349,8 +369,10 @@
         for link in sorted(peer.suspect):
             self._drop_link(peer, link)
             self.actions.append(act.CloseLink(link))
+            if not peer.opening:
+                self._open(peer)
 
-    def _unheard(self, link: int, sent: float) -> None:
+    def _unheard(self, link: int, sent: int) -> None:
         """A set-up went out on a link some time ago; at the least the group's state should have changed.
 
         Guards against connections that stay open and are of no further use: a message that stopped short, a
@@ -694,7 +716,7 @@
         attempt.link = link
         peer.links[link].add(call.id)
         wait = attempt.due - self.now
-        self._at(self.now + self.answers_within, "unheard", link)
+        self._at(self.now + self.answers_within, "unheard", link, int(self.now))
         self.actions.append(
             act.SendSetUp(link, call.id, offer.kind, offer.number, wait, offer.description)
         )
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -309,13 +309,38 @@
     rig.service.link_up(opened.link, rig.now)
     assert not of(rig.taken(), act.CloseLink)  # up is not enough: something must be heard on it
     rig.service.heard(opened.link, rig.now)
-    assert of(rig.taken(), act.CloseLink) == [act.CloseLink(old)]
+    seen = rig.taken()
+    assert of(seen, act.CloseLink) == [act.CloseLink(old)]
+    assert of(seen, act.OpenLink)  # what the switch said on the old one meanwhile comes on the next
     assert rig.service.calls[0x12].last is api.Outcome.CUT and 0x11 in rig.service.calls
     rig.service.answered(old, 0x12, b"late", rig.now)
     assert not of(rig.taken(), act.Respond)
     assert of(rig.released(0x11), act.ReleaseCaller)  # its release comes on the new one
 
 
+def test_after_a_link_is_lost_another_is_made_though_some_are_left(rig):
+    rig.wait(2000)
+    peer, old = rig.peer(1), rig.link(1)
+    rig.service.link_up(peer.opening, rig.now)
+    rig.taken()
+    assert len(peer.links) == 2
+    rig.service.link_lost(old, rig.now)  # a release may have been on its way on it
+    assert [a.switch for a in of(rig.taken(), act.OpenLink)] == [peer.number]
+    rig.service.link_lost(next(iter(peer.links)), rig.now)  # and again, while one is being made
+    rig.taken()
+    rig.service.link_up(peer.opening, rig.now)
+    assert [a.switch for a in of(rig.taken() + rig.wait(1000), act.OpenLink)][0] == peer.number
+
+
+def test_a_look_that_comes_late_is_taken_again_after_what_waits_was_read(rig):
+    rig.offer()
+    rig.now += 400
+    rig.service.due(rig.now)
+    assert not of(rig.taken(), act.OpenLink)
+    rig.service.heard(rig.link(1), rig.now)
+    assert not of(rig.wait(100), act.OpenLink)
+
+
 def test_a_link_that_is_heard_after_a_set_up_stays(rig):
     rig.offer()
     rig.wait(50)
