A draining switch that refuses connections keeps its calls

A probe on the releases showed all of them at draining switches: those refuse new connections and carry on with their calls over the open ones. Being quiet, their links had been asked anew, refused, dropped as silent, and after a second of refusals their calls were cut. At fault: link_failed took a refusal for a dead process. What is dead resets its connections: with a link left a refusal is a sign of life now, and a draining switch without one is given the time of a silent one.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -8,8 +8,8 @@
 list from the start, since the states of the groups come over them.
 
 A call that stands belongs to no connection. It is over when its switch or its caller releases it, when its
-switch has left the list, or when connections to its switch are refused without a break: then no process is
-there that could release it.
+switch has left the list, or when no link to the switch is left and connections are refused without a break:
+then no process is there that could release it. A switch that drains may refuse connections and carry on.
 """
 
 from __future__ import annotations
@@ -130,6 +130,7 @@
     number: api.SwitchId
     id: str
     address: tuple[str, int]
+    draining: bool = False  # it may refuse new connections, and what stands there goes on
     gone: bool = False
     links: dict[int, set[int]] = field(default_factory=dict)  # link that is up -> calls out on it
     since: dict[int, float] = field(default_factory=dict)  # when it came up
@@ -227,6 +228,7 @@
             peer = self.peers.get(member.number)
             if peer is None and state is not api.SwitchState.GONE:
                 peer = Peer(member.number, member.id, member.address, last_heard=now)
+                peer.draining = state is api.SwitchState.DRAINING
                 self.peers[member.number] = peer
                 self.by_id[member.id] = peer
                 self._open(peer)
@@ -237,6 +239,7 @@
 
     def _changed(self, peer: Peer, member: Member) -> None:
         peer.address = member.address
+        peer.draining = member.entry.state is api.SwitchState.DRAINING
         if member.entry.state is api.SwitchState.READY:
             return
         for call in list(peer.wanting.values()):  # a connect is pending: nothing may leave afterwards
@@ -288,9 +291,9 @@
         peer.opening = 0
         self._open_later(peer)
         peer.refused_since = min(peer.refused_since, now) if refused else inf
-        if refused and peer.suspect:  # what says nothing belongs to a process that is gone
-            self._drop_suspects(peer)
-        if not peer.links and now - peer.refused_since >= DEAD_AFTER:
+        if refused and peer.links:
+            peer.last_heard = now  # it is there: what is dead resets its connections
+        elif not peer.draining and now - peer.refused_since >= DEAD_AFTER:
             self._cut_standing(peer)
         for call in list(peer.wanting.values()):
             self._end_attempt(call, api.Outcome.UNREACHABLE)
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -286,6 +286,23 @@
     assert [a.cause for a in byes] == [Cause.TEMPORARY_FAILURE] and 1000 <= rig.now - 10_000 <= 2500
 
 
+def test_a_draining_switch_that_refuses_connections_keeps_its_calls(rig):
+    standing(rig)
+    rig.list(row(1, "leaving"))
+    old = rig.link(1)
+    for _ in range(100):  # it is quiet, and asked anew
+        for action in of(rig.wait(100), act.OpenLink):
+            if action.switch == rig.peer(1).number:
+                rig.service.link_failed(action.link, True, rig.now)
+            else:
+                rig.service.link_up(action.link, rig.now)
+        assert not of(rig.taken(), act.ReleaseCaller)
+    assert 0x11 in rig.service.calls and rig.link(1) == old
+    rig.service.link_lost(old, rig.now)  # the process stops
+    rig.taken()
+    assert [a.id for a in of(rig.list(row(1, "left")), act.ReleaseCaller)] == [0x11]
+
+
 def test_a_silent_connect_does_not_end_what_stands(rig):
     standing(rig)
     rig.service.link_lost(rig.link(1), rig.now)
