--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -80,6 +80,7 @@
     def __init__(self) -> None:
         self.events: list[dict] = []
         self.asked: asyncio.Queue[int] = asyncio.Queue()
+        self.fault = ""  # "cut": break off inside an event, "mute": say nothing and stay open; once
         self.changed = asyncio.Event()
 
     async def start(self) -> None:
@@ -97,7 +98,12 @@
                     await asyncio.wait_for(self.changed.wait(), wait)
             told = [each for each in self.events if each["n"] > after]
             body = json.dumps({"n": max([after, *[e["n"] for e in told]]), "events": told}).encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            fault, self.fault = self.fault, ""
+            if fault == "mute":
+                await reader.read()  # until the proxy gives it up
+                return
+            kept = len(body) // 2 if fault == "cut" else len(body)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:kept])
             await writer.drain()
         writer.close()
 
@@ -159,11 +165,17 @@
         self.feeds[1].tell(*rows)
         self.addr = ("127.0.0.1", free_port())
         self.configure(self.feeds[0])
+        await self.start()
+        return self
+
+    async def start(self) -> None:
         env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")} | {
             "BALANCER_NAME": "n3",
             "BALANCER_LISTEN": ":".join(map(str, self.addr)),
             "BALANCER_CONFIG": str(self.file),
         }
+        if hasattr(self, "process"):
+            self.process.stderr.close()
         self.process = subprocess.Popen(
             [sys.executable, "-m", "dapplehinge", "platform"], cwd=ROOT, env=env, stderr=subprocess.PIPE
         )
@@ -177,7 +189,6 @@
         for switch in self.switches:
             while not switch.writers:
                 await asyncio.sleep(0.01)
-        return self
 
     def configure(self, feed: Feed) -> None:
         known = {"n": 1, "events": self.feeds[0].events[:1]}
@@ -332,6 +343,59 @@
     play(scenario, tmp_path)
 
 
+@pytest.mark.parametrize("fault", ["cut", "mute"])
+def test_a_feed_that_breaks_off_or_goes_silent_is_asked_again(tmp_path, fault):
+    async def scenario(stage: Stage) -> None:
+        [feed, _] = stage.feeds
+        assert await asyncio.wait_for(feed.asked.get(), PATIENCE) == 1
+        feed.fault = fault
+        feed.tell(row(1, "left"))
+        while await asyncio.wait_for(feed.asked.get(), PATIENCE) != 2:
+            pass
+        caller = await stage.caller()
+        caller.invite(0x11, "a1")
+        assert (await caller.hear()).status == 503
+
+    play(scenario, tmp_path)
+
+
+def test_a_call_goes_by_tandem_where_the_direct_group_is_full(tmp_path):
+    async def scenario(stage: Stage) -> None:
+        direct, tandem = stage.switches[1], stage.switches[2]
+        full = {isup.Code.REPORT: b"x0:0;x1:20"}
+        caller = await stage.caller()
+        caller.invite(0x10, "a1")
+        await direct.next(isup.Type.IAM)
+        assert (await caller.hear()).status == 200
+        direct.writers[0].write(isup.encode(isup.Message(isup.Type.CQR, 0, full)))
+        direct.writers[0].write(isup.release(0x10, 16))
+        assert (await caller.hear("BYE")).status == 0  # so the state before it was read, too
+        caller.invite(0x11, "a1")
+        assert (await tandem.next(isup.Type.IAM)).call == 0x11
+        assert (await caller.hear()).body == b"answer of 11\r\n\x00"
+
+    play(scenario, tmp_path)
+
+
+def test_a_restart_takes_up_the_calls_that_are_brought_back(tmp_path):
+    async def scenario(stage: Stage) -> None:
+        caller = await stage.caller()
+        caller.invite(0x11, "a1")
+        assert (await caller.hear()).status == 200
+        stage.process.kill()
+        await caller.closed()
+        await stage.exit()
+        for switch in stage.switches:
+            switch.writers.clear()
+        await stage.start()
+        caller = await stage.caller()
+        caller.invite(0x11, "a1", path="dest:1;width:1;via:-1;at:s-1")
+        stage.switches[1].writers[0].write(isup.release(0x11, 16))
+        assert (await caller.hear("BYE")).call_id == f"{0x11:016x}"
+
+    play(scenario, tmp_path)
+
+
 def test_a_drain_answers_what_was_taken_and_exits_with_0(tmp_path):
     async def scenario(stage: Stage) -> None:
         caller = await stage.caller()
