--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -413,6 +413,61 @@
     play(scenario, tmp_path)
 
 
+def test_every_call_gets_one_final_answer_while_signals_come(tmp_path):
+    async def scenario(stage: Stage) -> None:
+        caller = await stage.caller()
+        answers: list[tuple[str, int]] = []
+
+        async def listen() -> None:
+            while data := await asyncio.wait_for(caller.reader.read(4096), PATIENCE):
+                messages, fault = caller.codec.feed(data)
+                assert fault is None
+                answers.extend((m.call_id, m.status) for m in messages if m.method == "INVITE")
+
+        listening = asyncio.create_task(listen())
+        for call in range(1, 161):
+            if call == 40:
+                stage.configure(stage.feeds[1])
+                stage.process.send_signal(signal.SIGHUP)
+            if call == 120:
+                stage.process.send_signal(signal.SIGTERM)
+            number, path = ("a1", "f1", "e1", "00")[call % 4], f"dest:{1 + call % 2};width:1;via:-1"
+            caller.invite(call, number, path, 1500)
+            if call < 120:
+                await asyncio.sleep(0.005)
+        await listening  # the proxy ends the connection when nothing is open on it
+        caller.writer.close()
+        assert sorted(name for name, _ in answers) == [f"{call:016x}" for call in range(1, 161)]
+        assert {status for _, status in answers} <= {200, 486, 500, 503, 504}
+        assert await stage.exit() == 0
+
+    play(scenario, tmp_path)
+
+
+def test_hundreds_withdrawn_at_once_end_at_the_switch_and_cost_others_nothing(tmp_path):
+    async def scenario(stage: Stage) -> None:
+        bad, direct = await stage.caller(), stage.switches[1]
+        for call in range(300):
+            bad.invite(0x1000 + call, "00")
+            bad.say("CANCEL", 0x1000 + call, body=b"")
+        for _ in range(300):
+            assert (await bad.hear()).status == 487
+        caller = await stage.caller()
+        caller.invite(0x11, "a1", path="dest:2;width:1;via:-1")
+        assert (await caller.hear()).status == 200
+        caller.invite(0x12, "a1")
+        open_calls: set[int] = set()
+        while (message := await asyncio.wait_for(direct.seen.get(), PATIENCE)).call != 0x12:
+            if message.type is isup.Type.IAM:
+                assert message.call not in open_calls
+                open_calls.add(message.call)
+            elif message.type is isup.Type.REL:
+                open_calls.remove(message.call)
+        assert open_calls == set()
+
+    play(scenario, tmp_path)
+
+
 @pytest.mark.parametrize(
     ("change", "place"),
     [
