One agenda and one clock: the platform's service and the call core use those that were there

Read again after the change: service.py had a heap of its own beside proxy/agenda.py, and so had calls/core.py; the agenda does no I/O and moves below the line, to calls/agenda.py, where all use it. node.py repeated the clock of port.py, which it can't import without loading the IAX2 engine: the clock has a file of its own. What falls due is an enumeration, as in the core. A set-up asked the interlock twice, in _set_up and in _send; it asks once, before a link is looked for, so that one held back no longer has a connection made for it to a switch it may not go to. No test changed but for the agenda's accessor.

--- a/dapplehinge/bench/caller.py
+++ b/dapplehinge/bench/caller.py
@@ -16,7 +16,8 @@
 from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.engine import Engine
 from dapplehinge.iax2.leg import Leg, Released, Signal
-from dapplehinge.proxy.port import Port, clock, open_socket
+from dapplehinge.proxy.clock import clock
+from dapplehinge.proxy.port import Port, open_socket
 
 _CONTROL, _ANSWER = int(FrameType.CONTROL), int(Control.ANSWER)
 
--- a/dapplehinge/bench/calls.py
+++ b/dapplehinge/bench/calls.py
@@ -19,7 +19,8 @@
 from tornado.ioloop import IOLoop
 
 from dapplehinge.bench.caller import CallerSpec, Result
-from dapplehinge.proxy.port import clock, open_socket
+from dapplehinge.proxy.clock import clock
+from dapplehinge.proxy.port import open_socket
 from dapplehinge.standins.switch import SwitchSpec
 
 PAIRS = 12
--- a/dapplehinge/calls/core.py
+++ b/dapplehinge/calls/core.py
@@ -20,12 +20,12 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum, auto
-from heapq import heappop, heappush
 from math import inf
 
 from dapplehinge import interface as api
 from dapplehinge.calls import causes
 from dapplehinge.calls.actions import Action, Drop, End, Final, Place, TellAnswered, TellRinging
+from dapplehinge.calls.agenda import Agenda
 from dapplehinge.calls.dialplan import Destination
 from dapplehinge.calls.interlock import Interlock, Ruling
 from dapplehinge.calls.network import Network
@@ -111,8 +111,7 @@
         self.draining = False
         self.out: list[Action] = []
         self.now = now
-        self._agenda: list[tuple[float, int, _Due, int, int]] = []
-        self._ticket = 0
+        self._agenda: Agenda[tuple[_Due, int, int]] = Agenda()
         # calls that ring -> until when they may: the limit is one for all, so they stand in its order; an
         # entry each in the agenda would outlive most calls by minutes
         self._ringing: dict[int, float] = {}
@@ -275,14 +274,13 @@
     @property
     def next_due(self) -> float:
         ringing = next(iter(self._ringing.values()), inf)
-        return min(self._agenda[0][0], ringing) if self._agenda else ringing
+        return min(self._agenda.due, ringing)
 
     # What the verbs share
 
     def _begin(self, now: float) -> None:
         self.now = max(self.now, now)
-        while self._agenda and self._agenda[0][0] <= self.now:
-            _, _, what, first, second = heappop(self._agenda)
+        for _, (what, first, second) in self._agenda.ready(self.now):
             self._overdue(what, first, second)
         while self._ringing and next(iter(self._ringing.values())) <= self.now:
             self._rang_too_long()
@@ -333,8 +331,7 @@
         self.out.append(End(call, CauseCode.NO_ANSWER, "no answer", Final.CLEARED))
 
     def _at(self, due: float, what: _Due, first: int, second: int = 0) -> None:
-        self._ticket += 1
-        heappush(self._agenda, (due, self._ticket, what, first, second))
+        self._agenda.at(due, (what, first, second))
 
     def _out(self, call: int, attempt: int) -> Call | None:
         """The call whose attempt that is out is this one; late words of others are nobody's."""
--- a/dapplehinge/load/run.py
+++ b/dapplehinge/load/run.py
@@ -11,6 +11,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from dapplehinge.calls.agenda import Agenda
 from dapplehinge.config.load import split
 from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.elements import Elements
@@ -18,8 +19,8 @@
 from dapplehinge.iax2.leg import Credentials, Leg, Released, Signal
 from dapplehinge.iax2.states import State
 from dapplehinge.load.plan import LoadPart, arrivals, generator, hold_times
-from dapplehinge.proxy.agenda import Agenda
-from dapplehinge.proxy.port import Port, clock, open_socket
+from dapplehinge.proxy.clock import clock
+from dapplehinge.proxy.port import Port, open_socket
 
 _CONTROL = int(FrameType.CONTROL)
 DRAWN_AT_ONCE = 4096
--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -16,10 +16,11 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from enum import Enum, auto
 from math import inf
 
 from dapplehinge import interface as api
+from dapplehinge.calls.agenda import Agenda
 from dapplehinge.calls.interlock import Interlock, Ruling
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
@@ -98,6 +99,18 @@
     return tuple(pairs)
 
 
+class _Due(Enum):
+    """What falls due; with the numbers that go with it."""
+
+    MODULE = auto()  # tag
+    ATTEMPT = auto()  # call, attempt
+    HELD = auto()  # call, attempt
+    OPEN = auto()  # switch
+    UNHEARD = auto()  # link, ms at which a set-up went out on it
+    WATCH = auto()
+    TEST = auto()  # its id
+
+
 @dataclass(slots=True)
 class Attempt:
     number: int
@@ -166,53 +179,54 @@
         self._links_made = 0
         self._tests_made = 0
         self._events: deque[api.Event] = deque()
-        self._agenda: list[tuple[float, int, str, int, int]] = []
-        self._entries = 0
+        self._agenda: Agenda[tuple[_Due, int, int]] = Agenda()
 
     # Clock
 
     @property
     def next_due(self) -> float:
-        return self._agenda[0][0] if self._agenda else inf
+        return self._agenda.due
 
-    def _at(self, when: float, what: str, first: int = 0, second: int = 0) -> None:
-        self._entries += 1
-        heappush(self._agenda, (when, self._entries, what, first, second))
+    def _at(self, when: float, what: _Due, first: int = 0, second: int = 0) -> None:
+        self._agenda.at(when, (what, first, second))
 
     def start(self, now: float) -> None:
         self.now = now
         for action in self.controller.start(now):
             self._carry_out(action)
-        self._at(now + WATCH, "watch")
+        self._at(now + WATCH, _Due.WATCH)
 
     def due(self, now: float) -> None:
         self.now = now
-        while self._agenda and self._agenda[0][0] <= now:
-            when, _, what, first, second = heappop(self._agenda)
-            if what == "timer":
-                self._events.append(api.TimerDue(first))
-            elif what == "attempt":
-                call = self.trying.get(first)
-                if call is not None and call.out is not None and call.out.number == second:
-                    self._end_attempt(call, api.Outcome.TIMED_OUT)
-            elif what == "hold":
-                call = self.trying.get(first)
-                if call is not None and call.out is not None and call.out.number == second:
-                    self._send(call, call.out)
-            elif what == "open":
-                peer = self.peers.get(first)
-                if peer is not None and not peer.opening and len(peer.links) < LINKS:
-                    self._open(peer)
-            elif what == "unheard" and now - when > LATE:  # what came meanwhile is read first
-                self._at(now + LATE, "unheard", first, second)
-            elif what == "unheard":
-                self._unheard(first, second)
-            elif what == "watch":
-                self._watch()
-            elif what == "test":
-                self._test_ended(first, False, ())
+        for when, (what, first, second) in self._agenda.ready(now):
+            match what:
+                case _Due.MODULE:
+                    self._events.append(api.TimerDue(first))
+                case _Due.ATTEMPT:
+                    if call := self._out(first, second):
+                        self._end_attempt(call, api.Outcome.TIMED_OUT)
+                case _Due.HELD:
+                    if call := self._out(first, second):
+                        self._send(call)
+                case _Due.OPEN:
+                    peer = self.peers.get(first)
+                    if peer is not None and not peer.opening and len(peer.links) < LINKS:
+                        self._open(peer)
+                case _Due.UNHEARD if now - when > LATE:  # what came meanwhile is read first
+                    self._at(now + LATE, what, first, second)
+                case _Due.UNHEARD:
+                    self._unheard(first, second)
+                case _Due.WATCH:
+                    self._watch()
+                case _Due.TEST:
+                    self._test_ended(first, False, ())
             self._run()
 
+    def _out(self, number: int, attempt: int) -> Call | None:
+        """The trying call whose attempt that is out is this one."""
+        call = self.trying.get(number)
+        return call if call is not None and call.out is not None and call.out.number == attempt else None
+
     def _run(self) -> None:
         while self._events:
             for action in self.controller.handle(self.now, self._events.popleft()):
@@ -278,8 +292,7 @@
             id_, cause = peer.releases.popleft()
             self.actions.append(act.SendRelease(link, id_, cause))
         for call in list(peer.wanting.values()):
-            if call.out is not None:
-                self._send(call, call.out)
+            self._send(call)
         self._run()
 
     def link_failed(self, link: int, refused: bool, now: float) -> None:
@@ -335,7 +348,7 @@
     def _open_later(self, peer: Peer) -> None:
         gap = min(MOST_GAP, FIRST_GAP * 2.0 ** min(peer.failures, 8))
         peer.failures += 1
-        self._at(self.now + gap, "open", peer.number)
+        self._at(self.now + gap, _Due.OPEN, peer.number)
 
     def _drop_link(self, peer: Peer, link: int) -> None:
         self.link_peer.pop(link, None)
@@ -391,7 +404,7 @@
             self._open(peer)
 
     def _watch(self) -> None:
-        self._at(self.now + WATCH, "watch")
+        self._at(self.now + WATCH, _Due.WATCH)
         for peer in list(self.peers.values()):
             if self.now - peer.last_heard < QUIET:
                 continue
@@ -657,11 +670,10 @@
                     timed_out = call.last in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED)
                     self._answer(number, 486 if call.engaged else 504 if timed_out else 500, 0.0)
             case api.Cancel(number, attempt):
-                call = self.trying.get(number)
-                if call is not None and call.out is not None and call.out.number == attempt:
+                if call := self._out(number, attempt):
                     self._end_attempt(call, api.Outcome.CANCELLED)
             case api.SetTimer(span, tag):
-                self._at(self.now + span, "timer", tag)
+                self._at(self.now + span, _Due.MODULE, tag)
             case api.Probe(switch):
                 self._probe(switch)
             case api.CloseIdle(switch):
@@ -681,26 +693,31 @@
         call = self.trying.get(number)
         if call is None:
             return
-        peer = self.peers.get(switch)
-        attempt_out = call.out is not None
-        answer = self.interlock.ask(switch, attempt_out, -inf, self.now)
-        attempt = Attempt(call.attempts, peer or Peer(switch, "", ("", 0)), self.now, self.now + time_out)
+        peer, attempt = self.peers.get(switch), call.attempts
         call.attempts += 1
-        if peer is None or answer.ruling is Ruling.BAR:
+        if peer is None or call.out is not None:
             self._events.append(
                 api.AttemptEnded(
-                    number, attempt.number, switch, api.Outcome.UNREACHABLE, api.Cause.NONE, 0.0, False
+                    number, attempt, switch, api.Outcome.UNREACHABLE, api.Cause.NONE, 0.0, False
                 )
             )
             return
-        call.out = attempt
-        self._at(attempt.due, "attempt", number, attempt.number)
-        self._send(call, attempt)
+        call.out = Attempt(attempt, peer, self.now, self.now + time_out)
+        self._at(call.out.due, _Due.ATTEMPT, number, attempt)
+        self._send(call)
 
-    def _send(self, call: Call, attempt: Attempt) -> None:
+    def _send(self, call: Call) -> None:
         """Give the set-up to a link if one is up and nothing speaks against it now; else wait for that."""
-        peer, offer = attempt.peer, call.offer
-        if offer is None or attempt.link:
+        attempt, offer = call.out, call.offer
+        if attempt is None or offer is None or attempt.link:
+            return
+        peer = attempt.peer
+        answer = self.interlock.ask(peer.number, False, call.doubtful_end, self.now)
+        if answer.ruling is Ruling.BAR:
+            self._end_attempt(call, api.Outcome.UNREACHABLE)
+            return
+        if answer.ruling is Ruling.HOLD:
+            self._at(answer.not_before, _Due.HELD, call.number, attempt.number)
             return
         link = self._link(peer)
         if not link:
@@ -708,18 +725,11 @@
             if not peer.opening:
                 self._open(peer)
             return
-        answer = self.interlock.ask(peer.number, False, call.doubtful_end, self.now)
-        if answer.ruling is Ruling.HOLD:
-            self._at(answer.not_before, "hold", call.number, attempt.number)
-            return
         peer.wanting.pop(call.id, None)
-        if answer.ruling is Ruling.BAR:
-            self._end_attempt(call, api.Outcome.UNREACHABLE)
-            return
         attempt.link = link
         peer.links[link].add(call.id)
         wait = attempt.due - self.now
-        self._at(self.now + self.answers_within, "unheard", link, int(self.now))
+        self._at(self.now + self.answers_within, _Due.UNHEARD, link, int(self.now))
         self.actions.append(
             act.SendSetUp(link, call.id, offer.kind, offer.number, wait, offer.description)
         )
@@ -738,7 +748,7 @@
             return
         self._tests_made += 1
         self.tests[self._tests_made] = (peer, self.now)
-        self._at(self.now + self.connect_within, "test", self._tests_made)
+        self._at(self.now + self.connect_within, _Due.TEST, self._tests_made)
         self.actions.append(act.SendTest(link, self._tests_made))
 
 
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -16,6 +16,7 @@
 from dapplehinge.platform.members import Members
 from dapplehinge.platform.offers import OfferReader
 from dapplehinge.platform.service import LINKS, Service
+from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.platform.callers import Callers
 from dapplehinge.proxy.platform.config import Config
 from dapplehinge.proxy.platform.feed import Feed
@@ -30,11 +31,6 @@
 log = logging.getLogger("dapplehinge.node")
 
 
-def clock() -> float:
-    """Milliseconds that only go forward."""
-    return time.monotonic() * 1000.0
-
-
 class Node:
     def __init__(self, config: Config, sock: socket.socket) -> None:
         self.config = config
--- a/dapplehinge/proxy/port.py
+++ b/dapplehinge/proxy/port.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Callable
 from math import inf
 
@@ -17,6 +16,7 @@
 from dapplehinge.iax2.engine import Engine
 from dapplehinge.iax2.frames import MOST_BYTES
 from dapplehinge.iax2.leg import Addr
+from dapplehinge.proxy.clock import clock
 
 BATCH = 64
 """Datagrams read at one go: some ten milliseconds of work at the most."""
@@ -25,11 +25,6 @@
 """Bytes asked of the kernel, which may grant less: a burst waits there while a batch is worked off."""
 
 
-def clock() -> float:
-    """Milliseconds that only go forward."""
-    return time.monotonic() * 1000.0
-
-
 def open_socket(addr: Addr) -> socket.socket:
     family = socket.AF_INET6 if ":" in addr[0] else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_DGRAM)
--- a/dapplehinge/proxy/recorder.py
+++ b/dapplehinge/proxy/recorder.py
@@ -15,7 +15,7 @@
 
 from tornado.ioloop import IOLoop
 
-from dapplehinge.proxy.port import clock
+from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.store import Store
 from dapplehinge.records.backlog import Backlog
 from dapplehinge.records.entry import Entry, encode
--- a/dapplehinge/proxy/server.py
+++ b/dapplehinge/proxy/server.py
@@ -49,8 +49,9 @@
 from dapplehinge.limits.pressure import Pressure
 from dapplehinge.limits.sources import SourceRule, Sources
 from dapplehinge.limits.tenants import Tenants
+from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.directory import Directory
-from dapplehinge.proxy.port import Port, clock
+from dapplehinge.proxy.port import Port
 from dapplehinge.proxy.recorder import Recorder
 from dapplehinge.proxy.store import Disk, Store, read_key
 from dapplehinge.records.backlog import Backlog
--- a/dapplehinge/standins/crash.py
+++ b/dapplehinge/standins/crash.py
@@ -19,13 +19,14 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from dapplehinge.calls.agenda import Agenda
 from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.engine import Engine
 from dapplehinge.iax2.leg import Leg, Released, Signal
 from dapplehinge.iax2.numbers import NOBODY
-from dapplehinge.proxy.agenda import Agenda
+from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.ledger import read_shelf, troubles
-from dapplehinge.proxy.port import Port, clock, open_socket
+from dapplehinge.proxy.port import Port, open_socket
 from dapplehinge.records.entry import Outcome
 from dapplehinge.standins.dying_box import POINTS
 from dapplehinge.standins.switch import Switch, SwitchSpec
--- a/dapplehinge/standins/handset.py
+++ b/dapplehinge/standins/handset.py
@@ -8,12 +8,12 @@
 import msgspec
 import numpy as np
 
+from dapplehinge.calls.agenda import Agenda
 from dapplehinge.iax2.codes import FORMAT_ULAW, CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.elements import Elements
 from dapplehinge.iax2.engine import Bounds
 from dapplehinge.iax2.leg import Addr, Leg, Released, Signal
 from dapplehinge.iax2.states import State
-from dapplehinge.proxy.agenda import Agenda
 from dapplehinge.proxy.port import Port
 from dapplehinge.standins.mute import MuteEngine
 
--- a/dapplehinge/standins/play.py
+++ b/dapplehinge/standins/play.py
@@ -6,8 +6,9 @@
 import signal
 
 from dapplehinge.config.load import Box
+from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.logs import set_up
-from dapplehinge.proxy.port import clock, open_socket
+from dapplehinge.proxy.port import open_socket
 from dapplehinge.standins.switch import Switch, SwitchSpec
 
 
--- a/dapplehinge/standins/process.py
+++ b/dapplehinge/standins/process.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from dapplehinge.proxy.port import clock
+from dapplehinge.proxy.clock import clock
 
 
 async def _until_told() -> None:
--- a/dapplehinge/standins/switch.py
+++ b/dapplehinge/standins/switch.py
@@ -15,11 +15,11 @@
 
 import msgspec
 
+from dapplehinge.calls.agenda import Agenda
 from dapplehinge.iax2.codes import CauseCode, Control, FrameType, Ie
 from dapplehinge.iax2.elements import number, text
 from dapplehinge.iax2.leg import Addr, Leg, Offered, Released, Voice
 from dapplehinge.iax2.states import State
-from dapplehinge.proxy.agenda import Agenda
 from dapplehinge.proxy.port import Port
 from dapplehinge.standins.mute import MuteEngine
 
--- a/dapplehinge/standins/trial.py
+++ b/dapplehinge/standins/trial.py
@@ -19,7 +19,7 @@
 from tornado import gen
 
 from dapplehinge.audit.trace import ClassOfCall, Header, Participant
-from dapplehinge.proxy.port import clock
+from dapplehinge.proxy.clock import clock
 from dapplehinge.standins.handset import HandsetSpec, Redial, Vanish
 from dapplehinge.standins.scenario import SWITCH_FAULTS, WIRE_FAULTS, ScenarioPart
 from dapplehinge.standins.switch import Fault, SwitchSpec
--- a/dapplehinge/standins/wire.py
+++ b/dapplehinge/standins/wire.py
@@ -21,7 +21,8 @@
 from tornado.tcpserver import TCPServer
 
 from dapplehinge.audit.trace import DatagramRecord, Fate, Header, MarkRecord, ToldRecord, TraceWriter
-from dapplehinge.proxy.port import RECEIVE_BUFFER, clock
+from dapplehinge.proxy.clock import clock
+from dapplehinge.proxy.port import RECEIVE_BUFFER
 from dapplehinge.standins.scenario import FaultPart
 
 Addr = tuple[str, int]
--- a/tests/mutant_box.py
+++ b/tests/mutant_box.py
@@ -11,7 +11,7 @@
 from dapplehinge.iax2.elements import write_elements
 from dapplehinge.limits.answers import Answers
 from dapplehinge.membership.vigil import Finding, Vigil
-from dapplehinge.proxy.port import clock
+from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.server import Server
 
 
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -21,7 +21,8 @@
 from dapplehinge.iax2.reliable import Timing
 from dapplehinge.limits.tenants import Tenants
 from dapplehinge.membership.vigil import Patience, Vigil
-from dapplehinge.proxy.port import Port, clock, open_socket
+from dapplehinge.proxy.clock import clock
+from dapplehinge.proxy.port import Port, open_socket
 from dapplehinge.proxy.server import Server
 from dapplehinge.standins.scenario import load_scenario, scenario_file
 from dapplehinge.standins.switch import Fault, Switch, SwitchSpec
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -454,7 +454,7 @@
     service = rig.service
     assert not service.calls and not service.trying and not service.conns
     assert not any(peer.standing or any(peer.links.values()) for peer in service.peers.values())
-    assert len(service._agenda) < 10
+    assert len(service._agenda.things()) < 10
 
 
 # The list
