The platform's sockets: one way to make a stream, no state that the member list has, nothing unused

Read again: both sides made their streams by the same lines (streams.py now), the listener is the standard library's create_server; the feed kept a copy of the number that the member list holds; asking for the whole list could do nothing, as what it brought was passed over by its numbers, and the feed leaves nothing out; two counters and a time were never read; flattened settings had two equal branches and a case for two names whose default says the same.

--- a/dapplehinge/isup/codec.py
+++ b/dapplehinge/isup/codec.py
@@ -100,14 +100,18 @@
     return HEAD.pack(LEAST + len(body), message.type, message.call) + body
 
 
+def type_of(byte: int) -> Type:
+    try:
+        return Type(byte)
+    except ValueError:
+        raise IsupError(f"unknown message type {byte}") from None
+
+
 def decode(data: bytes) -> Message:
     """One message without its length field."""
     if len(data) < LEAST:
         raise IsupError(f"message of {len(data)} bytes, {LEAST} at least")
-    try:
-        kind = Type(data[0])
-    except ValueError:
-        raise IsupError(f"unknown message type {data[0]}") from None
+    kind = type_of(data[0])
     call = int.from_bytes(data[1:LEAST], "big")
     parameters: dict[int, bytes] = {}
     at = LEAST
@@ -154,8 +158,8 @@
                 length = held[at] << 8 | held[at + 1]
                 if not LEAST <= length <= MOST_BYTES - 2:
                     raise IsupError(f"message length {length}, {LEAST} to {MOST_BYTES - 2} are possible")
-                if end - at >= 3 and held[at + 2] not in Type._value2member_map_:
-                    raise IsupError(f"unknown message type {held[at + 2]}")
+                if end - at >= 3:
+                    type_of(held[at + 2])  # noise is told before all of its length has come
                 if end - at < 2 + length:
                     break
                 messages.append(decode(held[at + 2 : at + 2 + length]))
--- a/dapplehinge/platform/actions.py
+++ b/dapplehinge/platform/actions.py
@@ -70,11 +70,6 @@
     id: int
 
 
-@dataclass(frozen=True, slots=True)
-class FetchAll:
-    """Ask the control feed for the whole list."""
-
-
 @dataclass(frozen=True, slots=True)
 class Log:
     event: str
@@ -90,6 +85,5 @@
     | SendRelease
     | SendComplete
     | SendTest
-    | FetchAll
     | Log
 )
--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -671,12 +671,10 @@
                 peer = self.peers.get(switch)
                 for link in [each for each, its in peer.links.items() if not its.out] if peer else []:
                     self.actions.append(act.CloseLink(link))
-            case api.FetchList():
-                self.actions.append(act.FetchAll())
             case api.Note(text):
                 self.actions.append(act.Log("module.note", text))
-            case api.Subscribe():
-                pass  # the control feed is followed always
+            case api.Subscribe() | api.FetchList():
+                pass  # the control feed is followed always, and leaves nothing out
             case api.TellPeer():
                 pass  # the platform has no way between proxies
 
--- a/dapplehinge/platform/settings.py
+++ b/dapplehinge/platform/settings.py
@@ -107,16 +107,11 @@
         for name, part in value.items():
             yield from flattened(f"{inner}{name}", part)
     elif isinstance(value, list):
-        if any(isinstance(part, dict) for part in value):
+        if any(isinstance(part, dict | list) for part in value):
             yield f"{inner}count", str(len(value))
             for index, part in enumerate(value):
                 yield from flattened(f"{inner}{index}", part)
-        elif any(isinstance(part, list) for part in value):
-            for index, part in enumerate(value):
-                yield from flattened(f"{inner}{index}", part)
         else:
-            if not value and path in ("tenants", "lanes"):
-                yield f"{inner}count", "0"
             yield path, ",".join(plain(part) for part in value)
     elif value is not None:
         yield path, plain(value)
--- a/dapplehinge/proxy/platform/__init__.py
+++ b/dapplehinge/proxy/platform/__init__.py
@@ -3,4 +3,5 @@
 config.py    what the platform tells at the start     node.py     the service on sockets, timer, drain
 callers.py   SIP connections, bounds                  links.py    connections to switches
 feed.py      the control feed's long poll             run.py      start and signals
+streams.py   bounded TCP streams
 """
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -24,11 +24,10 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.offers import OfferError, OfferReader, call_id_of
 from dapplehinge.platform.service import Service
+from dapplehinge.proxy.platform.streams import CHUNK, bounded
 from dapplehinge.sip import codec as sip
 
-CHUNK = 16 * 1024
 MOST_UNREAD = 64 * 1024
-MOST_UNSENT = 256 * 1024
 MOST_LOOKS = 64  # connections looked at for room at one go
 BATCH = 32  # connections accepted at one go
 REST = 0.05  # seconds without accepting when descriptors are short
@@ -41,13 +40,12 @@
 
 
 class Caller:
-    __slots__ = ("number", "stream", "reader", "opened", "heard", "since", "finishing", "pause", "byes")
+    __slots__ = ("number", "stream", "reader", "heard", "since", "finishing", "pause", "byes")
 
     def __init__(self, number: int, stream: IOStream, now: float) -> None:
         self.number = number
         self.stream = stream
         self.reader = sip.Reader()
-        self.opened = now
         self.heard = False  # a whole message came
         self.since = now  # when the message that is not whole yet began
         self.finishing = False  # our end is closed; the caller is to close his
@@ -76,7 +74,6 @@
         self.proven: dict[int, Caller] = {}  # the one that was heard last comes last
         self.partial: dict[int, Caller] = {}  # nothing whole came yet, or a message is not whole
         self.owed: dict[int, tuple[act.ReleaseCaller, float]] = {}
-        self.refused = 0
         self._numbers = 0
         self._listening: socket.socket | None = None
 
@@ -124,13 +121,8 @@
         if len(self.conns) >= self.most() and not self._make_room():
             sock.close()
             return
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(
-            sock, max_buffer_size=MOST_UNREAD, read_chunk_size=CHUNK, max_write_buffer_size=MOST_UNSENT
-        )
         self._numbers += 1
-        caller = Caller(self._numbers, stream, self.clock())
+        caller = Caller(self._numbers, bounded(sock, MOST_UNREAD), self.clock())
         self.conns[caller.number] = self.partial[caller.number] = caller
         asyncio.ensure_future(self._serve(caller))
 
@@ -148,9 +140,6 @@
 
     def _close(self, caller: Caller) -> None:
         caller.stream.close()
-        self._left(caller)
-
-    def _left(self, caller: Caller) -> None:
         if self.conns.pop(caller.number, None) is None:
             return
         self.proven.pop(caller.number, None)
@@ -185,7 +174,6 @@
                 for message in messages:
                     nonsense |= not self._take(caller, message, now)
                 if fault is not None:
-                    self.refused += 1
                     self._write(caller, sip.response(fault.status, b""))
                     break
                 if messages:
@@ -200,7 +188,6 @@
                     self.partial.pop(caller.number, None)
                 self.pump()
                 if nonsense:
-                    self.refused += 1
                     caller.pause = min(MOST_PAUSE, max(FIRST_PAUSE, 2 * caller.pause))
                     await asyncio.sleep(caller.pause)
                 elif len(data) == CHUNK:
--- a/dapplehinge/proxy/platform/feed.py
+++ b/dapplehinge/proxy/platform/feed.py
@@ -26,12 +26,14 @@
 
 
 class Feed:
-    """`told` takes what the feed answered and gives the number of the last event that was taken."""
+    """`reached` gives the number of the last event that was taken; `told` takes what the feed answered."""
 
-    def __init__(self, address: tuple[str, int], event: int, told: Callable[[Any], int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], reached: Callable[[], int], told: Callable[[Any], None]
+    ) -> None:
         Resolver.configure("tornado.netutil.BlockingResolver")  # addresses only; no threads
         self.address = address
-        self.event = event
+        self.reached = reached
         self.told = told
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4, max_body_size=MOST_BYTES)
         self._task: asyncio.Task[None] | None = None
@@ -46,9 +48,6 @@
         self.address = address
         self.follow()
 
-    def fetch_all(self) -> None:
-        self.event = 0
-
     def stop(self) -> None:
         if self._task is not None:
             self._task.cancel()
@@ -58,12 +57,12 @@
         gap = 0.0
         while True:
             try:
-                before = self.event
-                self.event = self.told(await self._poll())
-                gap = 0.0 if self.event != before else LEAST_GAP
+                before = self.reached()
+                self.told(await self._poll())
+                gap = 0.0 if self.reached() != before else LEAST_GAP
                 if not self._well:
                     self._well = True
-                    log.info("feed.back address=%s:%d event=%d", *self.address, self.event)
+                    log.info("feed.back address=%s:%d event=%d", *self.address, self.reached())
             except (HTTPError, OSError, ValueError) as fault:
                 gap = min(MOST_GAP, 2 * gap) if gap else LEAST_GAP
                 if self._well:
@@ -75,7 +74,7 @@
         host, port = self.address
         site = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         answer = await self._client.fetch(
-            f"http://{site}/v1/events?SUB={self.event}&wait={int(WAIT * 1000)}",
+            f"http://{site}/v1/events?SUB={self.reached()}&wait={int(WAIT * 1000)}",
             connect_timeout=PATIENCE,
             request_timeout=WAIT + PATIENCE,
             decompress_response=False,
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -16,10 +16,9 @@
 
 from dapplehinge.isup.codec import Code, IsupError, Message, Reader, Type
 from dapplehinge.platform.service import ReportError, Service, report_from
+from dapplehinge.proxy.platform.streams import CHUNK, bounded, family_of
 
-CHUNK = 16 * 1024
 MOST_UNREAD = 256 * 1024
-MOST_UNSENT = 256 * 1024
 
 log = logging.getLogger("dapplehinge.links")
 
@@ -37,18 +36,13 @@
 
     def open(self, link: int, address: tuple[str, int], within: float) -> None:
         """`within`: ms."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         try:
-            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock = socket.socket(family_of(address), socket.SOCK_STREAM)
         except OSError as fault:
             log.error("link.no_socket reason=%s", fault.strerror)
             self.loop.call_later(0.05, self._failed, link, False)
             return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(
-            sock, max_buffer_size=MOST_UNREAD, read_chunk_size=CHUNK, max_write_buffer_size=MOST_UNSENT
-        )
-        self.streams[link] = stream
+        stream = self.streams[link] = bounded(sock, MOST_UNREAD)
         asyncio.ensure_future(self._serve(link, stream, address, within))
 
     def close(self, link: int) -> None:
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -41,7 +41,7 @@
         self.callers = Callers(
             self.service, OfferReader(config.facts), config.name, clock, self.pump, self.most_callers
         )
-        self.feed = Feed(config.feed, 0, self.told)
+        self.feed = Feed(config.feed, lambda: self.members.event, self.told)
         self.sock = sock
         self.draining = False
         self._armed = inf
@@ -50,8 +50,7 @@
 
     def start(self) -> None:
         self.service.start(clock())
-        self.feed.event = self.told(self.config.known)
-        self.pump()
+        self.told(self.config.known)
         self.callers.ready = lambda: not self.draining and bool(self.members.known)
         self.callers.listen(self.sock)
         self.feed.follow()
@@ -68,7 +67,7 @@
         switches = LINKS * len(self.service.peers)
         return max(LEAST_CALLERS, self.config.sockets - RESERVE - switches)
 
-    def told(self, answer: Any) -> int:
+    def told(self, answer: Any) -> None:
         changes, fault = self.members.take(answer)
         now = clock()
         for change in changes:
@@ -76,11 +75,9 @@
         self.pump()
         if fault is not None:
             raise ValueError(str(fault))
-        return self.members.event
 
     def moved(self, feed: tuple[str, int]) -> None:
         log.info("feed.moved address=%s:%d event=%d", *feed, self.members.event)
-        self.feed.event = self.members.event
         self.feed.move(feed)
 
     def pump(self) -> None:
@@ -106,8 +103,6 @@
                         links.close(link)
                     case act.SendTest(link, id_):
                         links.write(link, isup.user_part_test(id_, 1))
-                    case act.FetchAll():
-                        self.feed.fetch_all()
                     case act.Log(event, text):
                         log.info("%s %s", event, text)
         due = service.next_due
--- a/dapplehinge/proxy/platform/run.py
+++ b/dapplehinge/proxy/platform/run.py
@@ -18,6 +18,7 @@
 from dapplehinge.platform.settings import SettingsError
 from dapplehinge.proxy.platform.config import Config, ConfigError, from_environment
 from dapplehinge.proxy.platform.node import Node
+from dapplehinge.proxy.platform.streams import family_of
 
 BACKLOG = 512
 
@@ -25,15 +26,8 @@
 
 
 def open_listener(address: tuple[str, int]) -> socket.socket:
-    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
+    sock = socket.create_server(address, family=family_of(address), backlog=BACKLOG)
+    sock.setblocking(False)
     return sock
 
 
--- a/dapplehinge/sip/codec.py
+++ b/dapplehinge/sip/codec.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MOST_BYTES = 16 * 1024
 """Longest message, head and body."""
@@ -154,15 +154,7 @@
                 if len(held) < length:
                     break
                 if length:
-                    message = Message(
-                        message.method,
-                        message.uri,
-                        message.status,
-                        message.sequence,
-                        message.call_id,
-                        message.fields,
-                        held[:length],
-                    )
+                    message = replace(message, body=held[:length])
                 messages.append(message)
                 held, self._head = held[length:], None
         except SipError as fault:
