The platform's tests build their INVITEs, spoilt messages and failed links in one place

Two tests wrote set-ups of their own beside the kit's, three failed links by the same loop, both codecs met noise by the same lines. The assertions are as they were; what a running proxy must not load names msgspec, json5 and the call core.

--- a/tests/platform_kit.py
+++ b/tests/platform_kit.py
@@ -65,18 +65,22 @@
     return {"n": events[-1]["n"], "events": list(events)}
 
 
-def invite(
+def said(
     call: int = 0x11, path: str = "dest:1;width:1;via:-1", number: str = "00000000000000aa", **fields: str
-) -> Message:
-    """`fields`: P- headers by their name with `_`, such as `time_left`; an empty one is left out."""
+) -> bytes:
+    """An INVITE. `fields`: P- headers by name with `_`, such as `time_left`; an empty one is left out."""
     head = {"Kind": "voice", "Billed": "acme", "Time-Left": "3000", "Path": path}
     head |= {name.replace("_", "-").title(): value for name, value in fields.items()}
     lines = "".join(f"P-{name}: {value}\r\n" for name, value in head.items() if value)
-    text = (
+    return (
         f"INVITE sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: {call:016x}\r\n"
         f"CSeq: 1 INVITE\r\n{lines}Content-Length: 4\r\n\r\nbody"
-    )
-    [message], fault = Reader().feed(text.encode())
+    ).encode()
+
+
+def invite(*args: Any, **fields: str) -> Message:
+    """The same, read."""
+    [message], fault = Reader().feed(said(*args, **fields))
     assert fault is None
     return message
 
@@ -117,6 +121,12 @@
     def link(self, place: int) -> int:
         return next(iter(self.peer(place).links))
 
+    def fail_links(self, seen: list[act.Action], refused: bool) -> list[act.Action]:
+        """No link that is to be made comes up."""
+        for action in of(seen, act.OpenLink):
+            self.service.link_failed(action.link, refused, self.now)
+        return self.taken()
+
     def wait(self, span: float) -> list[act.Action]:
         """Let time pass, the timer running when it is due."""
         end, seen = self.now + span, []
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -58,7 +58,8 @@
         ("dapplehinge.platform.settings", ["tornado", "click", "pydantic", "structlog", "socket", "asyncio"]),
         (
             "dapplehinge.proxy.platform.run",
-            ["pydantic", "cryptography", "numpy", "click", "rich", "structlog", "dapplehinge.iax2"],
+            ["pydantic", "cryptography", "numpy", "click", "rich", "structlog", "msgspec", "json5"]
+            + ["dapplehinge.iax2", "dapplehinge.calls.core"],
         ),
         ("dapplehinge.__main__", ["click", "pydantic", "tornado"]),
         ("dapplehinge.proxy.run", ["numpy", "scipy", "matplotlib", "polars", "hdrh"]),
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -3,8 +3,9 @@
 import asyncio
 import socket
 
+from dapplehinge.platform.actions import ReleaseCaller
 from dapplehinge.proxy.platform.callers import Callers
-from tests.platform_kit import Rig, invite
+from tests.platform_kit import Rig, of, said
 from tests.test_platform_live import PATIENCE
 
 
@@ -31,14 +32,6 @@
         await asyncio.sleep(0.005)
 
 
-def said(call, path="dest:1;width:1;via:-1"):
-    message = invite(call, path)
-    return (
-        f"INVITE sip:aa@net SIP/2.0\r\nCall-ID: {message.call_id}\r\nCSeq: 1 INVITE\r\nP-Kind: voice\r\n"
-        f"P-Billed: acme\r\nP-Time-Left: 3000\r\nP-Path: {path}\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
-
-
 def test_silent_ones_make_room_and_one_with_a_set_up_never_does():
     async def scenario(rig, callers, addr):
         _, used = await asyncio.open_connection(*addr)
@@ -93,20 +86,11 @@
         await until(lambda: rig.service.trying)
         writer.close()
         await until(lambda: not callers.proven)
-        rig.released(0x11)
-        for action in rig.taken():
-            callers.release(action)
-        rig.service.actions.clear()
-        callers.release(_bye(0x11))
+        [bye] = of(rig.released(0x11), ReleaseCaller)
+        callers.release(bye)
         assert 0x11 in callers.owed  # nobody who is known to be a caller is there
         again, third = await asyncio.open_connection(*addr)
         third.write(said(0x13, "at:s-1"))
         assert b"BYE sip:" in await again.read(1000) and not callers.owed
 
     played(scenario)
-
-
-def _bye(call):
-    from dapplehinge.platform.actions import ReleaseCaller
-
-    return ReleaseCaller(1, call, "aa", 16)
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -288,9 +288,7 @@
     rig.service.link_lost(rig.link(1), rig.now)
     seen = rig.taken()
     for _ in range(20):
-        for link in [a.link for a in of(seen, act.OpenLink)]:
-            rig.service.link_failed(link, True, rig.now)
-        if byes := of(seen + rig.taken(), act.ReleaseCaller):
+        if byes := of(seen + rig.fail_links(seen, True), act.ReleaseCaller):
             break
         seen = rig.wait(100)
     assert [a.cause for a in byes] == [Cause.TEMPORARY_FAILURE] and 1000 <= rig.now - 10_000 <= 2500
@@ -318,9 +316,7 @@
     rig.service.link_lost(rig.link(1), rig.now)
     seen = rig.taken()
     for _ in range(50):
-        for link in [a.link for a in of(seen, act.OpenLink)]:
-            rig.service.link_failed(link, False, rig.now)
-        seen = rig.taken() + rig.wait(100)
+        seen = rig.fail_links(seen, False) + rig.wait(100)
         assert not of(seen, act.ReleaseCaller)
 
 
@@ -388,9 +384,7 @@
     standing(rig)
     seen, began = [], rig.now
     while not of(seen, act.ReleaseCaller):
-        for action in of(seen, act.OpenLink):
-            rig.service.link_failed(action.link, False, rig.now)
-        seen = rig.taken() + rig.wait(100)
+        seen = rig.fail_links(seen, False) + rig.wait(100)
         assert rig.now - began < 7500
     assert rig.now - began >= 6000 and not rig.service.calls
     peer = rig.peer(1)
--- a/tests/test_trunk_codecs.py
+++ b/tests/test_trunk_codecs.py
@@ -28,6 +28,15 @@
     return seen, fault
 
 
+def check_spoilt(reader, sample, noise, at, length, kinds):
+    """A message with noise in place of some of it, in two parts, and a good one after it."""
+    spoilt = sample[:at] + noise + sample[at + length :]
+    for part in (spoilt[: len(sample) // 2], spoilt[len(sample) // 2 :], sample):
+        messages, fault = reader.feed(part)
+        assert all(isinstance(message, kinds[0]) for message in messages)
+        assert fault is None or isinstance(fault, kinds[1])
+
+
 def bare(*lines, body=b""):
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
@@ -94,12 +103,7 @@
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=300), st.integers(0, len(INVITE)), st.integers(0, 40))
 def test_sip_garbage_never_raises(noise, at, length):
-    spoilt = INVITE[:at] + noise + INVITE[at + length :]
-    reader = sip.Reader()
-    for part in (spoilt[:50], spoilt[50:], INVITE):
-        messages, fault = reader.feed(part)
-        assert all(isinstance(m, sip.Message) for m in messages)
-        assert fault is None or isinstance(fault, sip.SipError)
+    check_spoilt(sip.Reader(), INVITE, noise, at, length, (sip.Message, sip.SipError))
 
 
 IAM = isup.initial_address(0x9B1F03AA5C7E2D41, "voice", "7f3a", 1500.0, b"body")
@@ -155,9 +159,4 @@
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.binary(max_size=200), st.integers(0, len(IAM)), st.integers(0, 30))
 def test_isup_garbage_never_raises(noise, at, length):
-    spoilt = IAM[:at] + noise + IAM[at + length :]
-    reader = isup.Reader()
-    for part in (spoilt[:20], spoilt[20:], IAM):
-        messages, fault = reader.feed(part)
-        assert all(isinstance(m, isup.Message) for m in messages)
-        assert fault is None or isinstance(fault, isup.IsupError)
+    check_spoilt(isup.Reader(), IAM, noise, at, length, (isup.Message, isup.IsupError))
