Log signals, unanswered set-ups with their history, and counters of why things closed

Added: each signal; at the stop one line for each set-up without a final answer (id, age, time left, each step with its time); every 10 s and at the stop counters of final answers by status, attempts by outcome, connections closed by reason. Behaviour is as before.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -27,6 +27,7 @@
 from dapplehinge.platform.members import Change, Member
 from dapplehinge.platform.offers import Offer, dialled
 from dapplehinge.platform.settings import REPORT_WORDS, Facts, settings_from
+from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Step
 from dapplehinge.rules import Controller
 
 MARGIN = 50.0
@@ -128,6 +129,7 @@
     offer: Offer | None  # while it is trying
     echo: bytes
     dialled: str
+    history: History | None = None  # while it is trying
     attempts: int = 0
     out: Attempt | None = None
     doubtful_end: float = -inf
@@ -180,6 +182,7 @@
         self.link_peer: dict[int, Peer] = {}  # links up or being made
         self.tests: dict[int, tuple[Peer, float]] = {}
         self.actions: list[act.Action] = []
+        self.metrics = Metrics()
         self.now = 0.0
         self._calls_made = 0
         self._links_made = 0
@@ -228,6 +231,20 @@
                     self._test_ended(first, False, ())
             self._run()
 
+    def _record(self, call: Call, step: Step, detail: str = "") -> None:
+        if call.history is not None:
+            call.history.add(self.now, step, detail)
+
+    def unanswered(self) -> list[str]:
+        """One line for each set-up without a final answer: id, age, time left, history."""
+        lines = []
+        for call in self.trying.values():
+            if call.offer is not None and call.history is not None:
+                age = self.now - call.history.began
+                left = call.offer.budget - age
+                lines.append(f"id={call.id:016x} age_ms={age:.0f} left_ms={left:.0f} history={call.history}")
+        return lines
+
     def _out(self, number: int, attempt: int) -> Call | None:
         """The trying call whose attempt that is out is this one."""
         call = self.trying.get(number)
@@ -268,6 +285,7 @@
             del self.peers[peer.number], self.by_id[peer.id]
             for link in [*peer.links, *([peer.opening] if peer.opening else [])]:
                 self._drop_link(peer, link)
+                self.metrics.link_closes[LinkClose.SWITCH_GONE] += 1
                 self.actions.append(act.CloseLink(link))
             self._cut_standing(peer)
             peer.releases.clear()
@@ -306,6 +324,7 @@
         if peer is None or peer.opening != link:
             return
         peer.opening = 0
+        self.metrics.link_closes[LinkClose.REFUSED if refused else LinkClose.NOT_UP] += 1
         self._open_later(peer)
         peer.refused_since = min(peer.refused_since, now) if refused else inf
         if refused and peer.links:
@@ -374,6 +393,7 @@
             for number in [number for number, other in peer.links.items() if other.suspect]:
                 # another link works: what is out on a silent one is cut, its releases come on the next
                 self._drop_link(peer, number)
+                self.metrics.link_closes[LinkClose.SILENT] += 1
                 self.actions.append(act.CloseLink(number))
                 if not peer.opening:
                     self._open(peer)
@@ -432,7 +452,7 @@
         self._off_conn(call)
         call.offer, call.stands_at = None, peer
         peer.standing.add(id_)
-        self.actions.append(act.Respond(call.conn, call.echo, 200, 0.0, description))
+        self._respond(call, 200, 0.0, description)
         call.echo = b""
         self._events.append(
             api.CallStands(call.number, attempt.number, peer.number, now - attempt.asked)
@@ -485,7 +505,8 @@
         if known is not None:
             return False
         self._calls_made += 1
-        call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number)
+        call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number, History(self.now))
+        self.metrics.offered += 1
         self.calls[offer.id] = self.trying[call.number] = call
         self.conns.setdefault(conn, set()).add(offer.id)
         self._events.append(
@@ -533,7 +554,7 @@
             self.actions.append(act.ReleaseCaller(conn, id_, call.dialled, Cause.NORMAL))
         else:
             self._gone(call)
-            self.actions.append(act.Respond(conn, call.echo, 487))  # RFC 3261 9.2
+            self._respond(call, 487)  # RFC 3261 9.2
         self._run()
         return True
 
@@ -559,6 +580,7 @@
     # Ends
 
     def _gone(self, call: Call) -> None:
+        self.metrics.given_up += 1
         self._forget(call)
         self._events.append(api.CallerGone(call.number))
 
@@ -631,6 +653,8 @@
             self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
         if outcome in DOUBTFUL:
             call.doubtful_end = self.now
+        self._record(call, Step.ENDED, f"{attempt.peer.id} {outcome.name} {cause.name}")
+        self.metrics.attempt_ends[outcome.name] += 1
         call.last = outcome
         call.engaged = cause is api.Cause.LINES_ENGAGED
         if call.offer is not None:
@@ -684,6 +708,8 @@
             return
         peer, attempt = self.peers.get(switch), call.attempts
         call.attempts += 1
+        self.metrics.attempts += 1
+        self._record(call, Step.ROUTED, peer.id if peer else "unknown")
         if peer is None or call.out is not None:
             self._events.append(
                 api.AttemptEnded(
@@ -706,10 +732,12 @@
             self._end_attempt(call, api.Outcome.UNREACHABLE)
             return
         if answer.ruling is Ruling.HOLD:
+            self._record(call, Step.HELD)
             self._at(answer.not_before, _Due.HELD, call.number, attempt.number)
             return
         link = self._link(peer)
         if not link:
+            self._record(call, Step.NO_LINK)
             peer.wanting[call.id] = call
             if not peer.opening:
                 self._open(peer)
@@ -717,6 +745,7 @@
         peer.wanting.pop(call.id, None)
         attempt.link = link
         peer.links[link].out.add(call.id)
+        self._record(call, Step.SENT, f"{peer.id}/{link}")
         wait = attempt.due - self.now
         self._at(self.now + self.answers_within, _Due.UNHEARD, link, int(self.now))
         self.actions.append(
@@ -727,7 +756,12 @@
         call = self.trying.get(number)
         if call is not None:
             self._forget(call)
-            self.actions.append(act.Respond(call.conn, call.echo, status, gap))
+            self._respond(call, status, gap)
+
+    def _respond(self, call: Call, status: int, gap: float = 0.0, body: bytes = b"") -> None:
+        self.metrics.responses[status] += 1
+        call.history = None
+        self.actions.append(act.Respond(call.conn, call.echo, status, gap, body))
 
     def _probe(self, switch: api.SwitchId) -> None:
         peer = self.peers.get(switch)
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -24,6 +24,7 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.offers import OfferError, OfferReader, call_id_of
 from dapplehinge.platform.service import Service
+from dapplehinge.platform.telemetry import CallerClose
 from dapplehinge.proxy.platform.streams import CHUNK, bounded
 from dapplehinge.sip import codec as sip
 
@@ -134,14 +135,15 @@
         for pool in (self.partial, self.conns):
             for caller in islice(pool.values(), MOST_LOOKS):
                 if caller.number not in self.service.conns and nothing_unread(caller.stream):
-                    self._close(caller)
+                    self._close(caller, CallerClose.MAKES_ROOM)
                     return True
         return False
 
-    def _close(self, caller: Caller) -> None:
+    def _close(self, caller: Caller, why: CallerClose) -> None:
         caller.stream.close()
         if self.conns.pop(caller.number, None) is None:
             return
+        self.service.metrics.caller_closes[why] += 1
         self.proven.pop(caller.number, None)
         self.partial.pop(caller.number, None)
         self.service.caller_lost(caller.number, self.clock())
@@ -155,12 +157,13 @@
             if now - caller.since >= SILENCE:
                 if caller.reader.amid:
                     self._write(caller, sip.response(408, b""))
-                self._close(caller)
+                self._close(caller, CallerClose.SILENT)
         for id_ in [id_ for id_, (_, since) in self.owed.items() if now - since >= OWED_FOR]:
             del self.owed[id_]
 
     async def _serve(self, caller: Caller) -> None:
         stream, reader = caller.stream, caller.reader
+        why = CallerClose.BY_CALLER
         try:
             while True:
                 data = await stream.read_bytes(CHUNK, partial=True)
@@ -175,6 +178,7 @@
                     nonsense |= not self._take(caller, message, now)
                 if fault is not None:
                     self._write(caller, sip.response(fault.status, b""))
+                    why = CallerClose.UNREADABLE
                     break
                 if messages:
                     caller.heard = True
@@ -194,14 +198,17 @@
                     await asyncio.sleep(0)  # others get their turn
         except (StreamClosedError, OSError):
             pass
-        self._close(caller)
+        self._close(caller, why)
 
     def _write(self, caller: Caller, data: bytes) -> bool:
         try:
             caller.stream.write(data)
-        except (StreamBufferFullError, StreamClosedError):
+        except StreamBufferFullError:
+            self.service.metrics.caller_closes[CallerClose.NOT_READING] += 1
             caller.stream.close()
             return False
+        except StreamClosedError:
+            return False
         return True
 
     def finish_idle(self) -> bool:
@@ -214,11 +221,11 @@
         for caller in list(self.conns.values()):
             if caller.finishing:
                 if now - caller.since >= FINISH:
-                    self._close(caller)
+                    self._close(caller, CallerClose.SHUTDOWN)
                 continue
             idle = caller.number not in self.service.conns and not caller.stream.writing()
             if caller.stream.closed():
-                self._close(caller)
+                self._close(caller, CallerClose.BY_CALLER)
             elif idle and nothing_unread(caller.stream):
                 caller.finishing, caller.since = True, now
                 with contextlib.suppress(OSError):
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -16,6 +16,7 @@
 
 from dapplehinge.isup.codec import Code, IsupError, Message, Reader, Type
 from dapplehinge.platform.service import ReportError, Service, report_from
+from dapplehinge.platform.telemetry import LinkClose
 from dapplehinge.proxy.platform.streams import CHUNK, bounded, family_of
 
 MOST_UNREAD = 256 * 1024
@@ -58,6 +59,7 @@
             stream.write(data)
         except StreamBufferFullError:
             log.warning("link.not_read link=%d", link)
+            self.service.metrics.link_closes[LinkClose.NOT_READING] += 1
             stream.close()
         except StreamClosedError:
             pass  # its reader tells the service
@@ -96,10 +98,12 @@
                     await asyncio.sleep(0)  # others get their turn
         except (IsupError, ReportError) as fault:
             self._unreadable += 1
+            self.service.metrics.link_closes[LinkClose.UNREADABLE] += 1
             if self._unreadable & (self._unreadable - 1) == 0:  # the first, second, fourth, ...
                 log.warning("link.unreadable count=%d reason=%s", self._unreadable, fault)
         except (StreamClosedError, OSError):
-            pass
+            if link in self.streams:
+                self.service.metrics.link_closes[LinkClose.BY_SWITCH] += 1
         self.streams.pop(link, None)
         stream.close()
         self.service.link_lost(link, self.clock())
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -25,6 +25,7 @@
 RESERVE = 24  # descriptors for the loop, the listener, the feed, the log, files opened in passing
 LEAST_CALLERS = 16
 SWEEP = 250  # ms
+METRICS_EVERY_MS = 10_000
 ARRIVALS = 0.9  # seconds after SIGTERM in which set-ups may still come, and some to spare
 LAST_CALL = 3.4  # seconds after SIGTERM at which nothing is waited for any longer
 
@@ -47,6 +48,7 @@
         self._armed = inf
         self._handle: object | None = None
         self._sweep = PeriodicCallback(lambda: self.callers.sweep(clock()), SWEEP)
+        self._metrics = PeriodicCallback(self._log_metrics, METRICS_EVERY_MS)
 
     def start(self) -> None:
         self.service.start(clock())
@@ -55,6 +57,7 @@
         self.callers.listen(self.sock)
         self.feed.follow()
         self._sweep.start()
+        self._metrics.start()
         log.info(
             "node.started name=%s listen=%s:%d switches=%d event=%d",
             self.config.name,
@@ -131,6 +134,12 @@
         await asyncio.sleep(0.05)  # what was written leaves
         self.feed.stop()
         log.info("node.stopped unanswered=%d standing=%d", *self._held())
+        for line in self.service.unanswered():
+            log.warning("node.unanswered %s", line)
+        self._log_metrics()
+
+    def _log_metrics(self) -> None:
+        log.info("node.metrics connections=%d %s", len(self.callers.conns), self.service.metrics.summary())
 
     def _held(self) -> tuple[int, int]:
         trying = len(self.service.trying)
--- a/dapplehinge/proxy/platform/run.py
+++ b/dapplehinge/proxy/platform/run.py
@@ -41,10 +41,12 @@
         stopping.set()
 
     def stop() -> None:
+        log.info("node.signal name=stop first=%s", not drains)
         if not drains:
             drains.append(asyncio.ensure_future(drain()))
 
     def reload() -> None:
+        log.info("node.signal name=reload")
         try:
             fresh = from_environment(os.environ)
         except ConfigError as fault:
