--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 from dapplehinge import interface as api
 from dapplehinge.rules import Controller
 
+pytest_plugins = ["tests.known_red"]
+
 SETTINGS = api.Settings(
     classes=(
         api.CallClass(target=2000.0, worth=1.0, late_worth=0.25),
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,16 @@
+"""Short, seeded runs of the soak; the long one is `python -m tests.soak --seeds 1-50`."""
+
+import pytest
+
+from tests.soak.plan import dense_shutdown
+from tests.soak.trial import Trial, run_trial
+
+
+@pytest.mark.parametrize("deadline_ms", [1200.0, 2200.0, 3500.0])
+def test_a_shutdown_while_switches_hang_leaves_no_set_up_unanswered(deadline_ms):
+    expect_clean(run_trial(dense_shutdown(571077, deadline_ms, hanging=3)))
+
+
+def expect_clean(trial: Trial) -> None:
+    if trial.violations:
+        pytest.fail(f"{trial.summary()}\n{trial.details(with_log=True)}", pytrace=False)
