--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -17,7 +17,7 @@
     (folder / "pytest.ini").write_text("[pytest]\naddopts = -p known_red\npythonpath = .\n")
     (folder / "KNOWN-RED.txt").write_text(listed)
     command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"]
-    return subprocess.run(command, cwd=folder, capture_output=True, text=True, env={"PYTHONPATH": str(folder)})
+    return subprocess.run(command, cwd=folder, capture_output=True, text=True)
 
 
 def test_a_listed_failure_passes_and_is_printed(tmp_path):
