End a shutdown by the deployment's deadlines: every set-up taken is answered before the process goes

Cause: Node.drain waited until nothing was unanswered, or 3.4 s (LAST_CALL), and then ended whatever it held. 3.4 s was unrelated to the deadlines: callers wait longer than that where a switch hangs or a cut attempt waits out the guard, and SIGKILL comes earlier where the longest deadline is below 2.7 s. Callers who go on on open connections keep it from ever seeing a moment with nothing unanswered. The module is told by a new event, ShutdownStarted, and ends each call by that time as it does at the call's own deadline, so the choice of cancel, fail or refuse stays its own. Whatever it should have missed is answered before the first connection is closed.

--- a/dapplehinge/interface.py
+++ b/dapplehinge/interface.py
@@ -235,8 +235,23 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownStarted:
+    """The proxy is to end: each call has its final answer by `answer_by`, ms on the clock of the events."""
+
+    answer_by: float
+
+
 Event = (
-    SwitchList | CallOffered | CallStands | AttemptEnded | CallerGone | TimerDue | SwitchReport | PeerMessage
+    SwitchList
+    | CallOffered
+    | CallStands
+    | AttemptEnded
+    | CallerGone
+    | TimerDue
+    | SwitchReport
+    | PeerMessage
+    | ShutdownStarted
 )
 
 
--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -231,6 +231,22 @@
                     self._test_ended(first, False, ())
             self._run()
 
+    # Shutdown
+
+    def shut_down(self, answer_by: float, now: float) -> None:
+        """The module ends each call by `answer_by`, and refuses what is offered later."""
+        self.now = now
+        self._events.append(api.ShutdownStarted(answer_by))
+        self._run()
+
+    def answer_unanswered(self, now: float) -> None:
+        """Give the final answer to each set-up that still lacks one: refused if nothing was ever sent."""
+        self.now = now
+        for call in list(self.trying.values()):
+            self._gone(call)
+            self._respond(call, 504 if call.attempts else 503)
+        self._run()
+
     def _record(self, call: Call, step: Step, detail: str = "") -> None:
         if call.history is not None:
             call.history.add(self.now, step, detail)
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -71,6 +71,7 @@
         self.pump = pump
         self.most = most
         self.ready: Callable[[], bool] = lambda: True
+        self.last_set_up = 0.0  # ms at which the newest one was taken
         self.conns: dict[int, Caller] = {}
         self.proven: dict[int, Caller] = {}  # the one that was heard last comes last
         self.partial: dict[int, Caller] = {}  # nothing whole came yet, or a message is not whole
@@ -232,6 +233,11 @@
                     caller.stream.socket.shutdown(socket.SHUT_WR)
         return not self.conns
 
+    def close_all(self) -> None:
+        """End every connection, whatever it carries."""
+        for caller in list(self.conns.values()):
+            self._close(caller, CallerClose.SHUTDOWN)
+
     # Messages
 
     def _take(self, caller: Caller, message: sip.Message, now: float) -> bool:
@@ -263,6 +269,7 @@
         if not self.service.offered(caller.number, offer, echo, now):
             self._write(caller, sip.response(482, echo))
             return False
+        self.last_set_up = now
         if offer.standing_at:
             self._prove(caller)
         return True
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -1,4 +1,4 @@
-"""The service on sockets: one timer, the actions carried out, and the drain."""
+"""The service on sockets: one timer, the actions carried out, and the shutdown."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 from dapplehinge.platform.members import Members
 from dapplehinge.platform.offers import OfferReader
 from dapplehinge.platform.service import LINKS, Service
+from dapplehinge.platform.shutdown import Load, Phase, Shutdown
 from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.platform.callers import Callers
 from dapplehinge.proxy.platform.config import Config
@@ -26,8 +27,7 @@
 LEAST_CALLERS = 16
 SWEEP = 250  # ms
 METRICS_EVERY_MS = 10_000
-ARRIVALS = 0.9  # seconds after SIGTERM in which set-ups may still come, and some to spare
-LAST_CALL = 3.4  # seconds after SIGTERM at which nothing is waited for any longer
+SHUTDOWN_TICK_S = 0.005
 
 log = logging.getLogger("dapplehinge.node")
 
@@ -39,12 +39,11 @@
         self.service = Service(config.facts, config.seed)
         self.members = Members(config.facts.items("zones"), clock() - time.time() * 1000.0)
         self.links = Links(self.service, clock, self.pump)
-        self.callers = Callers(
-            self.service, OfferReader(config.facts), config.name, clock, self.pump, self.most_callers
-        )
+        offers = OfferReader(config.facts)
+        self.callers = Callers(self.service, offers, config.name, clock, self.pump, self.most_callers)
+        self.shutdown = Shutdown(max(offers.longest))
         self.feed = Feed(config.feed, lambda: self.members.event, self.told)
         self.sock = sock
-        self.draining = False
         self._armed = inf
         self._handle: object | None = None
         self._sweep = PeriodicCallback(lambda: self.callers.sweep(clock()), SWEEP)
@@ -53,7 +52,7 @@
     def start(self) -> None:
         self.service.start(clock())
         self.told(self.config.known)
-        self.callers.ready = lambda: not self.draining and bool(self.members.known)
+        self.callers.ready = self._ready
         self.callers.listen(self.sock)
         self.feed.follow()
         self._sweep.start()
@@ -66,6 +65,9 @@
             self.members.event,
         )
 
+    def _ready(self) -> bool:
+        return self.shutdown.phase is Phase.ACCEPTING and bool(self.members.known)
+
     def most_callers(self) -> int:
         switches = LINKS * len(self.service.peers)
         return max(LEAST_CALLERS, self.config.sockets - RESERVE - switches)
@@ -121,23 +123,45 @@
         self.pump()
 
     async def drain(self) -> None:
-        """Serve on until nothing can come any more and nothing is unanswered."""
-        self.draining = True
-        begun = self.loop.time()
-        log.info("node.draining unanswered=%d standing=%d", *self._held())
-        await asyncio.sleep(ARRIVALS)
-        # calls in transit come for as long as they can: each connection is ended when it carries none, and
-        # what crosses that comes on a new one, until there is a moment without any
-        while not self.callers.finish_idle() and self.loop.time() - begun < LAST_CALL:
-            await asyncio.sleep(0.005)
-        self.callers.stop_listening()
-        await asyncio.sleep(0.05)  # what was written leaves
+        """Serve on, refuse, close and end, at the times of `Shutdown`."""
+        self.shutdown.begin(clock())
+        self._log_phase(Phase.DRAINING)
+        self.service.shut_down(self.shutdown.answer_by, clock())
+        self.pump()
+        while self.shutdown.phase is not Phase.STOPPED:
+            await asyncio.sleep(SHUTDOWN_TICK_S)
+            self._advance_shutdown()
         self.feed.stop()
-        log.info("node.stopped unanswered=%d standing=%d", *self._held())
-        for line in self.service.unanswered():
-            log.warning("node.unanswered %s", line)
         self._log_metrics()
 
+    def _advance_shutdown(self) -> None:
+        before, now = self.shutdown.phase, clock()
+        load = Load(len(self.service.trying), len(self.callers.conns), self.callers.last_set_up)
+        phase = self.shutdown.advance(now, load)
+        if phase is not before:
+            self._log_phase(phase)
+        if phase >= Phase.CLOSING and now >= self.shutdown.answer_by:
+            self.service.answer_unanswered(now)
+            self.pump()
+        if phase >= Phase.LEAVING:
+            self.callers.stop_listening()
+        if phase >= Phase.CLOSING:
+            self.callers.finish_idle()
+        if phase is Phase.STOPPED:
+            self.callers.close_all()
+
+    def _log_phase(self, phase: Phase) -> None:
+        held = self._held()
+        log.info(
+            "node.%s unanswered=%d standing=%d connections=%d",
+            phase.name.lower(),
+            *held,
+            len(self.callers.conns),
+        )
+        if phase >= Phase.CLOSING:
+            for line in self.service.unanswered():
+                log.warning("node.unanswered %s", line)
+
     def _log_metrics(self) -> None:
         log.info("node.metrics connections=%d %s", len(self.callers.conns), self.service.metrics.summary())
 
--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -39,6 +39,7 @@
     SetTimer,
     Settings,
     SetUp,
+    ShutdownStarted,
     Subscribe,
     SwitchEntry,
     SwitchId,
@@ -189,6 +190,7 @@
         self.pressed: tuple[float, bool] = (-1.0, False)  # the near end, as it was judged then
         self.limit = DELAY_SHARE * min((c.target for c in settings.classes), default=2000.0)
         self.slack = DEADLINE_ROUNDS * settings.round_span
+        self.answer_by = inf  # when a shutdown ends all calls
         self.out: list[Action] = []
         self.now = 0.0
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -199,6 +201,7 @@
             TimerDue: self.timer,
             CallerGone: lambda event: self.forget(event.call),
             SwitchList: self.listed,
+            ShutdownStarted: self.shutting_down,
             PeerMessage: lambda event: None,  # proxies tell each other nothing yet
         }
 
@@ -223,7 +226,7 @@
     def offered(self, offer: CallOffered) -> None:
         if offer.call in self.calls:
             return
-        call = Call(offer, self.now, self.now + offer.budget - self.slack)
+        call = Call(offer, self.now, min(self.now + offer.budget - self.slack, self.answer_by))
         self.calls[offer.call] = call
         if not offer.in_transit:
             gap, self.offered_at = self.now - self.offered_at, self.now
@@ -361,6 +364,14 @@
                 call.rung.went_bad(call.sent)
                 self.end_failed(call)
 
+    def shutting_down(self, event: ShutdownStarted) -> None:
+        """Each call ends by `answer_by` as it ends at its own deadline; what is offered later is refused."""
+        self.answer_by = event.answer_by
+        for call in self.calls.values():
+            if call.due > self.answer_by:
+                call.due = self.answer_by
+                self.look_again(call, call.due)
+
     def listed(self, event: SwitchList) -> None:
         if event.kind is ListKind.FAILED:
             # guards against a deaf proxy: asked for again, but not at once, as discovery may be full
