A stopping proxy ends no connection that is new, amid a set-up or still to be accepted

What callers saw: a set-up on a connection that had just been made ended with no answer as the proxy stopped; sent again because it crossed a close, it could meet the same on its second connection, which is a lost set-up. Evidence: the three new tests failed before and pass now.

--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -24,6 +24,7 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.offers import OfferError, OfferReader, call_id_of
 from dapplehinge.platform.service import Service
+from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose
 from dapplehinge.proxy.platform.streams import CHUNK, bounded
 from dapplehinge.sip import codec as sip
@@ -41,12 +42,13 @@
 
 
 class Caller:
-    __slots__ = ("number", "stream", "reader", "heard", "since", "finishing", "pause", "byes")
+    __slots__ = ("number", "stream", "reader", "opened", "heard", "since", "finishing", "pause", "byes")
 
     def __init__(self, number: int, stream: IOStream, now: float) -> None:
         self.number = number
         self.stream = stream
         self.reader = sip.Reader()
+        self.opened = now
         self.heard = False  # a whole message came
         self.since = now  # when the message that is not whole yet began
         self.finishing = False  # our end is closed; the caller is to close his
@@ -86,25 +88,33 @@
         IOLoop.current().add_handler(sock, self._accept_some, IOLoop.READ)
 
     def stop_listening(self) -> None:
+        """What the system has accepted already is taken first."""
+        while self._accept_batch():
+            pass
         sock, self._listening = self._listening, None
         if sock is not None:
             IOLoop.current().remove_handler(sock)
             sock.close()
 
     def _accept_some(self, listening: Any, events: int) -> None:
+        self._accept_batch()
+
+    def _accept_batch(self) -> bool:
+        """True: more connections may be waiting."""
         for _ in range(BATCH):
             if self._listening is None:
-                return
+                return False
             try:
                 sock, _ = self._listening.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as fault:
                 if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self._rest()
-                    return
+                    return False
                 continue  # it has gone again
             self._accept(sock)
+        return True
 
     def _rest(self) -> None:
         """No descriptor is left: make room, and leave the queue alone for a moment instead of spinning."""
@@ -225,6 +235,7 @@
                     self._close(caller, CallerClose.SHUTDOWN)
                 continue
             idle = caller.number not in self.service.conns and not caller.stream.writing()
+            idle = idle and not caller.reader.amid and now - caller.opened >= CROSSING_MS
             if caller.stream.closed():
                 self._close(caller, CallerClose.BY_CALLER)
             elif idle and nothing_unread(caller.stream):
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -4,6 +4,7 @@
 import socket
 
 from dapplehinge.platform.actions import ReleaseCaller
+from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.proxy.platform.callers import Callers
 from tests.platform_kit import Rig, of, said
 from tests.test_platform_live import PATIENCE
@@ -94,3 +95,44 @@
         assert b"BYE sip:" in await again.read(1000) and not callers.owed
 
     played(scenario)
+
+
+def test_a_connection_that_was_just_made_is_not_ended_before_its_set_up_can_come():
+    async def scenario(rig, callers, addr):
+        _, writer = await asyncio.open_connection(*addr)
+        await until(lambda: callers.conns)
+        callers.finish_idle()
+        [caller] = callers.conns.values()
+        assert not caller.finishing
+        rig.now += CROSSING_MS
+        callers.finish_idle()
+        assert caller.finishing
+        writer.close()
+
+    played(scenario)
+
+
+def test_a_connection_amid_a_set_up_is_not_ended():
+    async def scenario(rig, callers, addr):
+        _, writer = await asyncio.open_connection(*addr)
+        await until(lambda: callers.conns)
+        [caller] = callers.conns.values()
+        writer.write(said(0x11)[:60])
+        await until(lambda: caller.reader.amid)
+        rig.now += CROSSING_MS
+        callers.finish_idle()
+        assert not caller.finishing
+        writer.write(said(0x11)[60:])
+        await until(lambda: rig.service.trying)
+
+    played(scenario)
+
+
+def test_what_waits_to_be_accepted_is_taken_as_the_listener_closes():
+    async def scenario(rig, callers, addr):
+        with socket.create_connection(addr) as waiting:
+            waiting.sendall(said(0x11))
+            callers.stop_listening()  # in the same turn, before the loop has accepted it
+            await until(lambda: rig.service.trying)
+
+    played(scenario)
