--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -42,6 +42,7 @@
         self.answered: dict[int, SetUp] = {}
         self.ended = False
         self.writing = False  # a slow writer is amid a message
+        self.queued: list[bytes] = []  # what is sent after it
         self.tests: list[asyncio.Future[int]] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -54,6 +55,19 @@
         """Not closed by the proxy, as the kernel knows it now."""
         return not self.ended and not self.transport.is_closing() and not self.poll.poll(0)
 
+    def send(self, data: bytes) -> None:
+        if self.writing:
+            self.queued.append(data)
+        elif not self.transport.is_closing():
+            self.transport.write(data)
+
+    def written(self) -> None:
+        """The slow writer has ended its message."""
+        self.writing = False
+        queued, self.queued = self.queued, []
+        for data in queued:
+            self.send(data)
+
     def data_received(self, data: bytes) -> None:
         messages, fault = self.reader.feed(data)
         for message in messages:
@@ -68,7 +82,7 @@
             if self.tests:
                 self.tests.pop(0).set_result(message.status)
         elif message.method == "BYE" and not message.status:
-            self.transport.write(sip.response(200, message.echo()))
+            self.send(sip.response(200, message.echo()))
         elif message.method == "INVITE" and message.status >= 200:
             call = int(message.call_id, 16)
             set_up = self.open.pop(call, None)
@@ -78,7 +92,7 @@
                 set_up = self.answered.get(call)
             if set_up is not None:
                 set_up.answers.append(FinalAnswer(monotonic(), message.status, message.body))
-                self.transport.write(request("ACK", call, "1"))
+                self.send(request("ACK", call, "1"))
                 self.callers.on_answer(set_up, message.status)
 
     def eof_received(self) -> None:
@@ -234,14 +248,14 @@
             connection.transport.write(message[start : start + size])
         else:
             set_up.written_at = monotonic()
-        connection.writing = False
+        connection.written()
 
     def _withdraw(self, connection: CallerConnection, set_up: SetUp) -> None:
         if set_up.answers or not connection.usable():
             return
         set_up.given_up_at = monotonic()
         if self.mix.shared or self.random.random() < 0.5:
-            connection.transport.write(request("CANCEL", set_up.id, "1"))
+            connection.send(request("CANCEL", set_up.id, "1"))
         else:
             connection.give_up()
 
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -149,7 +149,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 await self._answer_one(reader, writer)
         self.writers.discard(writer)
