Callers get the third of the descriptors that is theirs, however many switches there are

Change: platform/descriptors.py; the links that one switch may have follow from what callers' third leaves, one at least.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -24,6 +24,7 @@
 from dapplehinge.calls.interlock import Interlock, Ruling
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
+from dapplehinge.platform.descriptors import MAX_LINKS
 from dapplehinge.platform.members import Change, Member
 from dapplehinge.platform.offers import Offer, dialled
 from dapplehinge.platform.settings import REPORT_WORDS, Facts, settings_from
@@ -39,9 +40,6 @@
 DEAD_AFTER = 1000.0
 """ms of connections refused without a break after which no process is at the switch's address."""
 
-LINKS = 4
-"""Most links to one switch, by the platform's protocol."""
-
 QUIET = 1500.0
 """ms without a word from a switch after which a new connection is tried: that brings the group's state."""
 
@@ -183,6 +181,7 @@
         self.tests: dict[int, tuple[Peer, float]] = {}
         self.actions: list[act.Action] = []
         self.metrics = Metrics()
+        self.links_per_switch = MAX_LINKS
         self.now = 0.0
         self._calls_made = 0
         self._links_made = 0
@@ -219,7 +218,7 @@
                         self._send(call)
                 case _Due.OPEN:
                     peer = self.peers.get(first)
-                    if peer is not None and not peer.opening and len(peer.links) < LINKS:
+                    if peer is not None and not peer.opening and len(peer.links) < self.links_per_switch:
                         self._open(peer)
                 case _Due.UNHEARD if now - when > LATE:  # what came meanwhile is read first
                     self._at(now + LATE, what, first, second)
@@ -427,7 +426,7 @@
             self._try_another(peer)
 
     def _try_another(self, peer: Peer) -> None:
-        if not peer.opening and len(peer.links) < LINKS and not self._link(peer):
+        if not peer.opening and len(peer.links) < self.links_per_switch and not self._link(peer):
             self._open(peer)
 
     def _watch(self) -> None:
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -13,9 +13,10 @@
 
 from dapplehinge.isup import codec as isup
 from dapplehinge.platform import actions as act
+from dapplehinge.platform.descriptors import DescriptorBudget
 from dapplehinge.platform.members import Members
 from dapplehinge.platform.offers import OfferReader
-from dapplehinge.platform.service import LINKS, Service
+from dapplehinge.platform.service import Service
 from dapplehinge.platform.shutdown import Load, Phase, Shutdown
 from dapplehinge.proxy.clock import clock
 from dapplehinge.proxy.platform.callers import Callers
@@ -23,8 +24,6 @@
 from dapplehinge.proxy.platform.feed import Feed
 from dapplehinge.proxy.platform.links import Links
 
-RESERVE = 24  # descriptors for the loop, the listener, the feed, the log, files opened in passing
-LEAST_CALLERS = 16
 SWEEP = 250  # ms
 METRICS_EVERY_MS = 10_000
 SHUTDOWN_TICK_S = 0.005
@@ -39,6 +38,7 @@
         self.service = Service(config.facts, config.seed)
         self.members = Members(config.facts.items("zones"), clock() - time.time() * 1000.0)
         self.links = Links(self.service, clock, self.pump)
+        self.descriptors = DescriptorBudget(config.sockets)
         offers = OfferReader(config.facts)
         self.callers = Callers(self.service, offers, config.name, clock, self.pump, self.most_callers)
         self.shutdown = Shutdown(max(offers.longest))
@@ -69,14 +69,14 @@
         return self.shutdown.phase is Phase.ACCEPTING and bool(self.members.known)
 
     def most_callers(self) -> int:
-        switches = LINKS * len(self.service.peers)
-        return max(LEAST_CALLERS, self.config.sockets - RESERVE - switches)
+        return self.descriptors.max_callers(len(self.service.peers))
 
     def told(self, answer: Any) -> None:
         changes, fault = self.members.take(answer)
         now = clock()
         for change in changes:
             self.service.told(change, now)
+        self.service.links_per_switch = self.descriptors.links_per_switch(len(self.service.peers))
         self.pump()
         if fault is not None:
             raise ValueError(str(fault))
