--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -104,12 +104,17 @@
         for _ in range(BATCH):
             if self._listening is None:
                 return False
+            if len(self.conns) >= self.most() and not self._make_room():
+                self._rest()
+                return False
             try:
                 sock, _ = self._listening.accept()
             except BlockingIOError:
                 return False
             except OSError as fault:
                 if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    log.warning("callers.no_descriptor connections=%d", len(self.conns))
+                    self._make_room()
                     self._rest()
                     return False
                 continue  # it has gone again
@@ -117,9 +122,7 @@
         return True
 
     def _rest(self) -> None:
-        """No descriptor is left: make room, and leave the queue alone for a moment instead of spinning."""
-        log.warning("callers.no_descriptor connections=%d", len(self.conns))
-        self._make_room()
+        """Leave the queue alone for a moment: what waits there is served later, and nothing spins."""
         loop, listening = IOLoop.current(), self._listening
         if listening is not None:
             loop.remove_handler(listening)
@@ -130,26 +133,34 @@
             IOLoop.current().add_handler(listening, self._accept_some, IOLoop.READ)
 
     def _accept(self, sock: socket.socket) -> None:
-        if len(self.conns) >= self.most() and not self._make_room():
-            sock.close()
-            return
         self._numbers += 1
         caller = Caller(self._numbers, bounded(sock, MOST_UNREAD), self.clock())
         self.conns[caller.number] = self.partial[caller.number] = caller
         asyncio.ensure_future(self._serve(caller))
 
     def _make_room(self) -> bool:
-        """Close one that carries no set-up: silent before used, the one unused for longest first.
-
-        One with something unread is passed over: that may be a set-up, and closing would reset it.
-        """
-        for pool in (self.partial, self.conns):
-            for caller in islice(pool.values(), MOST_LOOKS):
-                if caller.number not in self.service.conns and nothing_unread(caller.stream):
+        """Close one that carries no set-up: silent before used, half a message last, each by its age."""
+        silent = (each for each in self.partial.values() if not each.reader.amid)
+        used = (each for each in self.conns.values() if not each.reader.amid)
+        amid = (each for each in self.partial.values() if each.reader.amid)
+        for pool in (silent, used, amid):
+            for caller in islice(pool, MOST_LOOKS):
+                if self._may_close(caller):
                     self._close(caller, CallerClose.MAKES_ROOM)
                     return True
         return False
 
+    def _may_close(self, caller: Caller) -> bool:
+        """It carries no set-up, and none can be on its way that would be cut off.
+
+        A connection that was just made brings its first set-up in a moment; what is unread may be one.
+        """
+        if caller.stream.closed():
+            return True
+        new = self.clock() - caller.opened < CROSSING_MS
+        carries = caller.number in self.service.conns or caller.stream.writing()
+        return not new and not carries and nothing_unread(caller.stream)
+
     def _close(self, caller: Caller, why: CallerClose) -> None:
         caller.stream.close()
         if self.conns.pop(caller.number, None) is None:
@@ -234,11 +245,9 @@
                 if now - caller.since >= FINISH:
                     self._close(caller, CallerClose.SHUTDOWN)
                 continue
-            idle = caller.number not in self.service.conns and not caller.stream.writing()
-            idle = idle and not caller.reader.amid and now - caller.opened >= CROSSING_MS
             if caller.stream.closed():
                 self._close(caller, CallerClose.BY_CALLER)
-            elif idle and nothing_unread(caller.stream):
+            elif self._may_close(caller) and not caller.reader.amid:
                 caller.finishing, caller.since = True, now
                 with contextlib.suppress(OSError):
                     caller.stream.socket.shutdown(socket.SHUT_WR)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -5,7 +5,7 @@
 
 from dapplehinge.platform.actions import ReleaseCaller
 from dapplehinge.platform.shutdown import CROSSING_MS
-from dapplehinge.proxy.platform.callers import Callers
+from dapplehinge.proxy.platform.callers import REST, Callers
 from tests.platform_kit import Rig, of, said
 from tests.test_platform_live import PATIENCE
 
@@ -40,7 +40,11 @@
         await until(lambda: rig.service.trying)
         silent = [await asyncio.open_connection(*addr) for _ in range(2)]
         await until(lambda: len(callers.conns) == 3)
+        first = set(callers.conns)
         more = [await asyncio.open_connection(*addr) for _ in range(2)]
+        await asyncio.sleep(2 * REST)
+        assert set(callers.conns) == first  # the silent ones are new: those that come wait to be accepted
+        rig.now += CROSSING_MS
         for reader, _ in silent:
             assert await reader.read() == b""
         await until(lambda: len(callers.conns) == 3)
@@ -58,6 +62,7 @@
         await writer.drain()
         while not caller.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
             pass
+        rig.now += CROSSING_MS
         assert not callers._make_room()  # in the same turn, before the loop has read it
         await until(lambda: rig.service.trying)
 
@@ -136,3 +141,21 @@
             await until(lambda: rig.service.trying)
 
     played(scenario)
+
+
+def test_half_a_set_up_is_ended_for_room_after_idle_connections_only():
+    async def scenario(rig, callers, addr):
+        _, half = await asyncio.open_connection(*addr)
+        half.write(said(0x11)[:60])
+        await until(lambda: any(each.reader.amid for each in callers.conns.values()))
+        _, silent = await asyncio.open_connection(*addr)
+        await until(lambda: len(callers.conns) == 2)
+        rig.now += CROSSING_MS
+        assert callers._make_room()
+        [left] = callers.conns.values()
+        assert left.reader.amid
+        assert callers._make_room() and not callers.conns
+        half.close()
+        silent.close()
+
+    played(scenario)
