A poll of the control feed is never queued behind those of older, silent addresses

Found on that path: after four new configurations in quick succession the poll of the address in force waited until the polls of older ones, which stay silent, had ended, up to 2.5 s, and each was logged as an error. Cause: Feed.move cancels the task that waits for a poll, not the poll, and all polls shared one client of four places. Change: a client for each poll; how one that nobody waits for ends is taken note of.

--- a/dapplehinge/proxy/platform/feed.py
+++ b/dapplehinge/proxy/platform/feed.py
@@ -35,7 +35,6 @@
         self.address = address
         self.reached = reached
         self.told = told
-        self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4, max_body_size=MOST_BYTES)
         self._task: asyncio.Task[None] | None = None
         self._well = True
 
@@ -73,11 +72,21 @@
     async def _poll(self) -> Any:
         host, port = self.address
         site = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-        answer = await self._client.fetch(
+        # a client of its own: the poll of an older address, which may stay silent, must hold up no newer one
+        client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1, max_body_size=MOST_BYTES)
+        poll = client.fetch(
             f"http://{site}/v1/events?SUB={self.reached()}&wait={int(WAIT * 1000)}",
             connect_timeout=PATIENCE,
             request_timeout=WAIT + PATIENCE,
             decompress_response=False,
             follow_redirects=False,
         )
+        poll.add_done_callback(_look_at)
+        answer = await asyncio.shield(poll)
         return json.loads(answer.body)
+
+
+def _look_at(poll: asyncio.Future[Any]) -> None:
+    """Take note of how a poll ended that nobody waits for any more, so that it is not logged as an error."""
+    if not poll.cancelled():
+        poll.exception()
