A signal that comes while the process starts waits until it can be followed

A SIGTERM between the opening of the listener and the event loop's first turn ended the process at once, and what the system had accepted by then was reset unanswered. Cause: the signals had their default action (SIGHUP: ignored, so lost) until Node was made. Change: they are blocked from the start of main to the moment their handlers are set; the system delivers them then.

--- a/dapplehinge/proxy/platform/run.py
+++ b/dapplehinge/proxy/platform/run.py
@@ -1,8 +1,9 @@
 """Start as the operators' platform starts a signalling proxy, and follow its signals.
 
 SIGHUP: the configuration file is read again and a new `feed` is followed; a file that makes no sense leaves
-the old one in force. SIGTERM: served on until nothing is unanswered, then exit 0. Logs go to standard error
-by the standard library: this front starts fast and small, without the libraries of the box.
+the old one in force. SIGTERM: the shutdown of `platform/shutdown.py`, then exit 0. A signal that comes before
+it can be followed waits. Logs go to standard error by the standard library: this front starts fast and small,
+without the libraries of the box.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from dapplehinge.proxy.platform.streams import family_of
 
 BACKLOG = 512
+FOLLOWED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 log = logging.getLogger("dapplehinge.run")
 
@@ -59,6 +61,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, FOLLOWED)
     node.start()
     gc.collect()
     gc.freeze()
@@ -67,7 +70,7 @@
 
 def main() -> int:
     """Exit codes: 0 drained, 2 the platform's variables or configuration make no sense."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be followed
+    signal.pthread_sigmask(signal.SIG_BLOCK, FOLLOWED)
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s"
     )
--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -168,7 +168,7 @@
         await self.start()
         return self
 
-    async def start(self) -> None:
+    async def start(self, until_ready: bool = True) -> None:
         env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")} | {
             "BALANCER_NAME": "n3",
             "BALANCER_LISTEN": ":".join(map(str, self.addr)),
@@ -179,6 +179,8 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "dapplehinge", "platform"], cwd=ROOT, env=env, stderr=subprocess.PIPE
         )
+        if not until_ready:
+            return
         for _ in range(600):
             with contextlib.suppress(OSError):
                 caller = await self.caller()
@@ -413,6 +415,24 @@
     play(scenario, tmp_path)
 
 
+def test_a_set_up_is_answered_though_sigterm_comes_as_the_listener_opens(tmp_path):
+    async def scenario(stage: Stage) -> None:
+        for _ in range(4):
+            stage.process.kill()
+            await stage.exit()
+            await stage.start(until_ready=False)
+            while True:
+                with contextlib.suppress(OSError):
+                    caller = await stage.caller()
+                    break
+            caller.invite(0x11, "a1")
+            stage.process.send_signal(signal.SIGTERM)
+            assert (await caller.hear()).status in (200, 503)
+            assert await stage.exit() == 0
+
+    play(scenario, tmp_path)
+
+
 def test_every_call_gets_one_final_answer_while_signals_come(tmp_path):
     async def scenario(stage: Stage) -> None:
         caller = await stage.caller()
