A link that is let go of in the turn that opened it no longer fails with a trace

The service may ask for the close of a link in the same turn as for its opening, before the task that connects has begun; the stream is closed then. No set-up was affected: the service had forgotten the link. The new test failed before.

--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -69,6 +69,8 @@
         self.pump()
 
     async def _serve(self, link: int, stream: IOStream, address: tuple[str, int], within: float) -> None:
+        if stream.closed():
+            return  # the service let go of it in the same turn
         limit = self.loop.call_later(within / 1000.0, stream.close)
         try:
             await stream.connect(address)
--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -11,10 +11,12 @@
 import subprocess
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 from dapplehinge.isup import codec as isup
+from dapplehinge.proxy.platform.links import Links
 from dapplehinge.sip import codec as sip
 from tests.platform_kit import SETTINGS, event, row
 
@@ -513,3 +515,17 @@
         [sys.executable, "-m", "dapplehinge", "platform"], cwd=ROOT, env=env, capture_output=True, text=True
     )
     assert done.returncode == 2 and place in done.stderr and "Traceback" not in done.stderr
+
+
+def test_a_link_let_go_of_before_it_is_made_ends_quietly():
+    async def scenario() -> None:
+        failed: list[int] = []
+        service = SimpleNamespace(link_failed=lambda link, *_: failed.append(link))
+        links = Links(service, lambda: 0.0, lambda: None)
+        links.open(1, ("127.0.0.1", 9), 500.0)
+        links.close(1)
+        [task] = asyncio.all_tasks() - {asyncio.current_task()}
+        await task
+        assert not failed
+
+    asyncio.run(scenario())
