Soak: denser load, bursts through the shutdown, traces in the log as violations, whole pieces

Callers now send up to 160 set-ups a second and bursts at drawn times up to the kill, half of them without asking whether a connection was closed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -52,8 +52,10 @@
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
 
     def usable(self) -> bool:
-        """Not closed by the proxy, as the kernel knows it now."""
-        return not self.ended and not self.transport.is_closing() and not self.poll.poll(0)
+        """Not closed by the proxy, as far as the caller looks."""
+        if self.ended or self.transport.is_closing():
+            return False
+        return not self.callers.mix.watchful or not self.poll.poll(0)
 
     def send(self, data: bytes) -> None:
         if self.writing:
@@ -281,7 +283,7 @@
         copy.written_at = monotonic()
 
     async def burst(self) -> None:
-        await asyncio.gather(*(self.place() for _ in range(self.mix.burst_at_shutdown)))
+        await asyncio.gather(*(self.place() for _ in range(self.mix.burst)))
 
     async def crowd(self) -> None:
         """Connections that say nothing, within the third of the descriptors that callers hold."""
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -111,12 +111,23 @@
         for answer in set_up.answers:
             served = 200 <= answer.status < 300
             if served and (set_up.kind is CallerKind.BAD or answer.body not in made[set_up.id]):
-                found.append(Violation("wrong served", answer.at, f"{set_up.id:016x}"))
+                text = f"{set_up.id:016x} {answer.body!r}, {attempts_text(records, set_up.id)}"
+                found.append(Violation("wrong served", answer.at, text))
         if set_up.unreadable and set_up.kind is not CallerKind.BAD:
             found.append(Violation("unreadable answer", set_up.began_at, f"{set_up.id:016x}"))
     return found
 
 
+def attempts_text(records: Records, call: int) -> str:
+    texts = []
+    for each in records.attempts:
+        if each.call == call:
+            ended = f"{each.ended_at:.3f}" if each.ended_at else "never"
+            end = each.end.value if each.end else "open"
+            texts.append(f"{each.switch} {each.arrived_at:.3f} to {ended} {end}")
+    return f"attempts: {', '.join(texts) or 'none'}"
+
+
 def attempts_by_call(records: Records) -> dict[int, list[Attempt]]:
     calls: dict[int, list[Attempt]] = defaultdict(list)
     for attempt in sorted(records.attempts, key=lambda each: each.arrived_at):
@@ -190,6 +201,8 @@
         unasked = run.sigterm_at is None and run.exit_code is not None
         if unasked or (not run.killed and run.exit_code not in (0, None)):
             found.append(Violation("crash", ended, f"run {run.number} ended with {run.exit_code}"))
+        traces = [line for line in run.log if "Traceback" in line]
+        found += [Violation("error", ended, f"run {run.number}: {line}") for line in traces]
         if run.killed:
             found.append(Violation("not stopped", ended, f"run {run.number} was there at SIGKILL"))
         if run.ready_at is None or run.ready_at - run.started_at > READY_WITHIN_S:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -74,6 +74,7 @@
     arrivals_s: float  # for how long after SIGTERM new connections keep coming
     reloads_s: tuple[float, ...]  # SIGHUPs, counted from SIGTERM
     repeated_sigterms_s: tuple[float, ...]
+    bursts_s: tuple[float, ...]  # counted from SIGTERM
     troubles: tuple[SwitchTrouble, ...]
     discovery: tuple[DiscoveryTrouble, ...]
 
@@ -88,7 +89,8 @@
     retry_at_once: float
     bad_per_s: float
     crowd: int  # silent connections opened together
-    burst_at_shutdown: int  # set-ups sent together as SIGTERM leaves
+    burst: int  # set-ups sent together
+    watchful: bool  # callers ask the system for the close of a connection before they send on it
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +114,7 @@
     deployment = draw_deployment(random)
     lives = tuple(draw_cycle(random, deployment) for _ in range(cycles))
     callers = CallerMix(
-        rate_per_s=random.choice((20.0, 50.0, 90.0)) / (1 + 0.25 * deployment.busy_neighbours),
+        rate_per_s=random.choice((20.0, 60.0, 160.0)) / (1 + 0.25 * deployment.busy_neighbours),
         connections=random.choice((2, 6, 16, 32)),
         shared=random.random() < 0.5,
         slow_writers=random.choice((0.0, 0.05, 0.2)),
@@ -120,7 +122,8 @@
         retry_at_once=random.choice((0.0, 0.3, 0.8)),
         bad_per_s=random.choice((0.0, 0.0, 2.0, 8.0)),
         crowd=random.choice((0, 0, 20, 80)),
-        burst_at_shutdown=random.choice((0, 0, 10, 30)),
+        burst=random.choice((5, 10, 30)),
+        watchful=random.random() < 0.5,
     )
     faults = {trouble.fault.value for life in lives for trouble in life.troubles}
     faults |= {f"discovery {trouble.fault.value}" for life in lives for trouble in life.discovery}
@@ -164,6 +167,7 @@
         arrivals_s=random.uniform(0.2, 0.4),
         reloads_s=tuple(reloads),
         repeated_sigterms_s=tuple(random.uniform(0.05, 1.0) for _ in range(random.choice((0, 0, 1, 2)))),
+        bursts_s=tuple(sorted(random.uniform(0.0, stop_s) for _ in range(random.choice((0, 1, 3, 8))))),
         troubles=tuple(troubles),
         discovery=tuple(discovery),
     )
@@ -187,6 +191,6 @@
     for _ in range(cycles):
         switches = random.sample(range(1, 6), hanging)
         troubles = tuple(SwitchTrouble(each, SwitchFault.HANG, -0.3, stop_s + 1.0) for each in switches)
-        lives.append(Cycle(1.6, 0.3, (), (), troubles, ()))
-    callers = CallerMix(80.0, 16, False, 0.0, 0.0, 0.3, 0.0, 0, 0)
+        lives.append(Cycle(1.6, 0.3, (), (), (0.0,), troubles, ()))
+    callers = CallerMix(80.0, 16, False, 0.0, 0.0, 0.3, 0.0, 0, 5, True)
     return Plan(seed, deployment, callers, tuple(lives), 1.0, ("hang",))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -120,6 +120,7 @@
         await asyncio.sleep(max(0.0, stop_at - 0.3 - monotonic()))
         self.callers.spawn(self.callers.crowd())
         await asyncio.sleep(max(0.0, stop_at - monotonic()))
+        tasks += [asyncio.create_task(self._burst(each, stop_at)) for each in cycle.bursts_s]
         for each in cycle.repeated_sigterms_s:
             tasks.append(asyncio.create_task(self._signal(each, stop_at, process, signal.SIGTERM)))
         await self._stop_node(run, process)
@@ -175,7 +176,6 @@
             run.earliest_kill_at = run.sigterm_at + earliest_kill_s(self.plan.deployment)
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGTERM)
-            self.callers.spawn(self.callers.burst())
         while process.poll() is None and monotonic() < (run.earliest_kill_at or 0.0):
             run.most_descriptors = max(run.most_descriptors, descriptors_of(process.pid))
             await asyncio.sleep(0.005)
@@ -196,6 +196,10 @@
         if process.poll() is None:
             process.send_signal(number)
 
+    async def _burst(self, after_s: float, stop_at: float) -> None:
+        await asyncio.sleep(max(0.0, stop_at + after_s - monotonic()))
+        await self.callers.burst()
+
     async def _reload(self, after_s: float, stop_at: float, process: subprocess.Popen[bytes]) -> None:
         await asyncio.sleep(max(0.0, stop_at + after_s - monotonic()))
         if process.poll() is None:
--- a/tests/soak/switches.py
+++ b/tests/soak/switches.py
@@ -66,7 +66,7 @@
     def send(self, data: bytes) -> None:
         if self.transport.is_closing():
             return
-        if SwitchFault.PIECES not in self.switch.faults:
+        if SwitchFault.PIECES not in self.switch.faults and not self.switch.writing_pieces:
             self.transport.write(data)
             return
         self.switch.pieces.append((self, data))
@@ -97,7 +97,7 @@
         self.standing: dict[int, SwitchLink] = {}
         self.unheard_releases: list[int] = []
         self.pieces: list[tuple[SwitchLink, bytes]] = []
-        self._writing_pieces = False
+        self.writing_pieces = False
         self._plugs: list[socket.socket] = []
         self.port = 0
 
@@ -157,9 +157,9 @@
         return isup.encode(isup.Message(isup.Type.CQR, 0, report))
 
     def write_pieces(self) -> None:
-        if self._writing_pieces or not self.pieces:
+        if self.writing_pieces or not self.pieces:
             return
-        self._writing_pieces = True
+        self.writing_pieces = True
         link, data = self.pieces.pop(0)
         cut = self.random.randint(1, max(1, len(data) - 1))
         link.transport.write(data[:cut])
@@ -167,7 +167,7 @@
 
     def _write_rest(self, link: SwitchLink, rest: bytes) -> None:
         link.transport.write(rest)
-        self._writing_pieces = False
+        self.writing_pieces = False
         self.write_pieces()
 
     # What the proxy says
