--- a/dapplehinge/isup/codec.py
+++ b/dapplehinge/isup/codec.py
@@ -178,7 +178,7 @@
             Type.IAM,
             call,
             {
-                Code.CLASS: kind.encode("ascii"),
+                Code.CLASS: kind.encode("utf-8", "surrogateescape"),
                 Code.WAIT: b"%d" % max(1, int(wait)),
                 Code.NUMBER: number.encode("ascii"),
                 Code.DESCRIPTION: description,
--- a/tests/test_trunk_codecs.py
+++ b/tests/test_trunk_codecs.py
@@ -160,3 +160,9 @@
 @given(st.binary(max_size=200), st.integers(0, len(IAM)), st.integers(0, 30))
 def test_isup_garbage_never_raises(noise, at, length):
     check_spoilt(isup.Reader(), IAM, noise, at, length, (isup.Message, isup.IsupError))
+
+@pytest.mark.parametrize("name", ["criée", "voice"])
+def test_a_class_of_any_name_reaches_the_switch(name):
+    data = isup.initial_address(1, name, "a1", 10.0, b"")
+    [message], fault = isup.Reader().feed(data)
+    assert fault is None and message.parameters[isup.Code.CLASS] == name.encode()
