--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -74,6 +74,10 @@
         self.unreadable = False
         self.byes: dict[str, act.ReleaseCaller] = {}  # sent, and not heard to be received
 
+    @property
+    def writable(self) -> bool:
+        return not self.finishing and not self.stream.closed()
+
     @property
     def settled(self) -> bool:
         """All that the stream has read was taken, so that its socket may be looked at."""
@@ -409,8 +413,8 @@
 
     def release(self, action: act.ReleaseCaller) -> None:
         caller = self.conns.get(action.conn)
-        if caller is None or caller.stream.closed():
-            caller = next((each for each in reversed(self.proven.values()) if not each.stream.closed()), None)
+        if caller is None or not caller.writable:
+            caller = next((each for each in reversed(self.proven.values()) if each.writable), None)
         if caller is None:
             self.owed[action.id] = (action, self.clock())
             return
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -212,3 +212,22 @@
         writer.close()
 
     played(scenario)
+
+
+def test_a_release_does_not_go_to_a_connection_that_was_told_the_end():
+    async def scenario(rig, callers, addr):
+        ended, first = await asyncio.open_connection(*addr)
+        first.write(said(0x11, "at:s-1"))
+        await until(lambda: callers.proven)
+        [caller] = callers.conns.values()
+        caller.finishing = True
+        other, second = await asyncio.open_connection(*addr)
+        second.write(said(0x12, "at:s-1"))
+        await until(lambda: len(callers.proven) == 2)
+        [bye] = of(rig.released(0x11), ReleaseCaller)
+        callers.release(bye)
+        assert b"BYE sip:" in await other.read(1000)
+        first.close()
+        second.close()
+
+    played(scenario)
