--- a/dapplehinge/platform/telemetry.py
+++ b/dapplehinge/platform/telemetry.py
@@ -31,6 +31,7 @@
     BY_CALLER = "by-caller"
     SILENT = "silent"
     UNREADABLE = "unreadable"
+    FAULT = "fault"  # of the program
     MAKES_ROOM = "makes-room"
     NOT_READING = "not-reading"
     SHUTDOWN = "shutdown"
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -241,6 +241,9 @@
                     await asyncio.sleep(0)  # others get their turn
         except (StreamClosedError, OSError):
             pass
+        except Exception:
+            why = CallerClose.FAULT
+            log.exception("callers.fault connection=%d", caller.number)
         self._close(caller, why)
 
     def _on_data(self, caller: Caller, data: bytes) -> bool:
--- a/dapplehinge/proxy/platform/feed.py
+++ b/dapplehinge/proxy/platform/feed.py
@@ -67,6 +67,9 @@
                 if self._well:
                     self._well = False
                     log.warning("feed.lost address=%s:%d reason=%s", *self.address, fault)
+            except Exception:  # a proxy that no longer asks would send to switches that drain
+                gap = MOST_GAP
+                log.exception("feed.fault address=%s:%d", *self.address)
             await asyncio.sleep(gap)
 
     async def _poll(self) -> Any:
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -106,6 +106,8 @@
         except (StreamClosedError, OSError):
             if link in self.streams:
                 self.service.metrics.link_closes[LinkClose.BY_SWITCH] += 1
+        except Exception:
+            log.exception("link.fault link=%d", link)
         self.streams.pop(link, None)
         stream.close()
         self.service.link_lost(link, self.clock())
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -87,29 +87,14 @@
 
     def pump(self) -> None:
         """Carry out what the service asks, and set the timer anew."""
-        service, links = self.service, self.links
+        service = self.service
         while service.actions:
             actions, service.actions = service.actions, []
             for action in actions:
-                match action:
-                    case act.SendSetUp(link, id_, kind, number, wait, description):
-                        links.write(link, isup.initial_address(id_, kind, number, wait, description))
-                    case act.SendRelease(link, id_, cause):
-                        links.write(link, isup.release(id_, cause))
-                    case act.SendComplete(link, id_):
-                        links.write(link, isup.release_complete(id_))
-                    case act.Respond():
-                        self.callers.respond(action)
-                    case act.ReleaseCaller():
-                        self.callers.release(action)
-                    case act.OpenLink(_, link, address, within):
-                        links.open(link, address, within)
-                    case act.CloseLink(link):
-                        links.close(link)
-                    case act.SendTest(link, id_):
-                        links.write(link, isup.user_part_test(id_, 1))
-                    case act.Log(event, text):
-                        log.info("%s %s", event, text)
+                try:
+                    self._carry_out(action)
+                except Exception:  # it must not cost the actions after it
+                    log.exception("node.action_failed action=%s", type(action).__name__)
         due = service.next_due
         if due < self._armed:
             if self._handle is not None:
@@ -117,10 +102,34 @@
             self._armed = due
             self._handle = self.loop.call_later(max(0.0, (due - clock()) / 1000.0), self._due)
 
+    def _carry_out(self, action: act.Action) -> None:
+        links = self.links
+        match action:
+            case act.SendSetUp(link, id_, kind, number, wait, description):
+                links.write(link, isup.initial_address(id_, kind, number, wait, description))
+            case act.SendRelease(link, id_, cause):
+                links.write(link, isup.release(id_, cause))
+            case act.SendComplete(link, id_):
+                links.write(link, isup.release_complete(id_))
+            case act.Respond():
+                self.callers.respond(action)
+            case act.ReleaseCaller():
+                self.callers.release(action)
+            case act.OpenLink(_, link, address, within):
+                links.open(link, address, within)
+            case act.CloseLink(link):
+                links.close(link)
+            case act.SendTest(link, id_):
+                links.write(link, isup.user_part_test(id_, 1))
+            case act.Log(event, text):
+                log.info("%s %s", event, text)
+
     def _due(self) -> None:
         self._armed, self._handle = inf, None
-        self.service.due(clock())
-        self.pump()
+        try:
+            self.service.due(clock())
+        finally:
+            self.pump()  # sets the timer for what is due next
 
     async def drain(self) -> None:
         """Serve on, finish, close and end, at the times of `Shutdown`."""
@@ -129,7 +138,11 @@
         while self.shutdown.phase is not Phase.STOPPED:
             before = clock()
             await asyncio.sleep(SHUTDOWN_TICK_S)
-            self._advance_shutdown(clock() - before - 1000.0 * SHUTDOWN_TICK_S)
+            try:
+                self._advance_shutdown(clock() - before - 1000.0 * SHUTDOWN_TICK_S)
+            except Exception:  # the process ends in time all the same
+                log.exception("node.shutdown_failed phase=%s", self.shutdown.phase.name)
+        self.callers.close_all()
         self.feed.stop()
         self._log_metrics()
 
@@ -147,9 +160,7 @@
             self.service.answer_unanswered(now)
             self.pump()
             self.callers.stop_listening()
-        if phase is Phase.STOPPED:
-            self.callers.close_all()
-        elif phase >= Phase.FINISHING:
+        if phase >= Phase.FINISHING:
             self.callers.finish_idle()
 
     def _log_phase(self, phase: Phase) -> None:
