A release that comes before its call is brought back is passed on, not forgotten

After a restart a caller brings a standing call back while its switch releases it; where the proxy read the release first, the call was unknown, the release was forgotten, and the call then stood for ever. Change: a release of an unknown call is remembered for 8 s, 4,096 at most; if the call is brought back meanwhile for the same switch, its caller is told at once.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -56,6 +56,10 @@
 MOST_RELEASES = 4096
 """Releases kept for a switch to which no link is up."""
 
+RELEASE_KEPT = 8000.0
+"""ms for which a release of an unknown call is remembered: after a restart callers bring back the calls that
+stand, while their switches go on releasing them."""
+
 NOTES = {
     "congestion": api.Cause.NO_CIRCUIT,
     "crankback": api.Cause.TURNED_BACK,
@@ -110,6 +114,15 @@
     TEST = auto()  # its id
 
 
+@dataclass(frozen=True, slots=True)
+class UnclaimedRelease:
+    """A switch released a call that is not known (yet)."""
+
+    peer: Peer
+    cause: int
+    at: float  # ms
+
+
 @dataclass(slots=True)
 class Attempt:
     number: int
@@ -182,6 +195,7 @@
         self.actions: list[act.Action] = []
         self.metrics = Metrics()
         self.links_per_switch = MAX_LINKS
+        self.unclaimed: dict[int, UnclaimedRelease] = {}  # by call id, the oldest first
         self.answer_by = inf  # ms at which a shutdown ends all calls
         self.now = 0.0
         self._calls_made = 0
@@ -482,6 +496,7 @@
             return
         self.actions.append(act.SendComplete(link, id_))
         if call is None:
+            self._keep_unclaimed(id_, UnclaimedRelease(peer, cause, now))
             return
         if call.stands_at is peer:
             over = api.Outcome.COMPLETED if cause == Cause.NORMAL else api.Outcome.CUT
@@ -491,6 +506,13 @@
             self._end_attempt(call, outcome, NOTES.get(note, api.Cause.NONE), report, told=True)
         self._run()
 
+    def _keep_unclaimed(self, id_: int, release: UnclaimedRelease) -> None:
+        self.unclaimed.pop(id_, None)
+        self.unclaimed[id_] = release
+        oldest = next(iter(self.unclaimed))
+        if len(self.unclaimed) > MOST_RELEASES or self.now - self.unclaimed[oldest].at > RELEASE_KEPT:
+            del self.unclaimed[oldest]
+
     def reported(self, link: int, report: Report, now: float) -> None:
         self.now = now
         peer = self.link_peer.get(link)
@@ -554,6 +576,10 @@
                 act.ReleaseCaller(conn, offer.id, offer.number, Cause.TEMPORARY_FAILURE)
             )
             return
+        release = self.unclaimed.pop(offer.id, None)
+        if release is not None and release.peer is peer and self.now - release.at <= RELEASE_KEPT:
+            self.actions.append(act.ReleaseCaller(conn, offer.id, offer.number, release.cause))
+            return
         self._calls_made += 1
         call = Call(offer.id, self._calls_made, conn, None, b"", offer.number, stands_at=peer)
         self.calls[offer.id] = call
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -8,7 +8,7 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.members import FeedError, Members
 from dapplehinge.platform.offers import OfferError, OfferReader
-from dapplehinge.platform.service import NOTES, OUTCOMES, ReportError, report_from
+from dapplehinge.platform.service import NOTES, OUTCOMES, RELEASE_KEPT, ReportError, report_from
 from dapplehinge.platform.settings import Facts, settings_from
 from tests.platform_kit import SETTINGS, Rig, event, invite, of, row, told
 
@@ -499,3 +499,21 @@
 @pytest.mark.parametrize("answer", [None, [], {}, {"events": 3}, {"events": [3]}, {"events": [{"n": True}]}])
 def test_an_answer_that_is_none(answer):
     assert isinstance(Members([], 0.0).take(answer)[1], FeedError)
+
+
+def test_a_release_that_came_before_its_call_was_brought_back_is_passed_on(rig):
+    rig.released(0x31)
+    offer = rig.offers.read(invite(0x31, path="at:s-1"))
+    assert rig.service.offered(4, offer, b"", rig.now)
+    [bye] = of(rig.taken(), act.ReleaseCaller)
+    assert (bye.conn, bye.id, bye.cause) == (4, 0x31, 16)
+    assert not rig.service.calls and not rig.peer(1).standing
+
+
+def test_a_release_by_another_switch_or_long_ago_does_not_end_a_call_that_is_brought_back(rig):
+    rig.released(0x31, place=2)
+    rig.released(0x32)
+    rig.wait(RELEASE_KEPT + 1)
+    for call in (0x31, 0x32):
+        assert rig.service.offered(4, rig.offers.read(invite(call, path="at:s-1")), b"", rig.now)
+    assert not of(rig.taken(), act.ReleaseCaller) and len(rig.peer(1).standing) == 2
