--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -114,6 +114,7 @@
         unanswered = [each for each in self.open.values() if each.given_up_at is None]
         for set_up in unanswered:
             set_up.connection_ended_at = now
+            set_up.observer_lag_s = self.callers.records.lag_since(set_up.written_at or now, now)
         for set_up in unanswered:
             if set_up.written_at is not None and crossed_close(set_up, unanswered):
                 set_up.resent = True
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -68,12 +68,15 @@
 
 
 def crossed_close(set_up: SetUp, same_connection: list[SetUp]) -> bool:
-    """A first sending, within 50 ms of the end of a connection on which no older set-up was open."""
+    """A first sending, within 50 ms of the end of a connection on which no older set-up was open.
+
+    The end was seen late by the stand-in's own lag at most, which its records hold.
+    """
     ended, written = set_up.connection_ended_at, set_up.written_at
     if ended is None or written is None or set_up.resend_of is not None:
         return False
     open_then = [each for each in same_connection if not each.answers and each.given_up_at is None]
-    return all(abs((each.written_at or ended) - ended) <= CROSSING_S for each in open_then)
+    return all(ended - (each.written_at or ended) - each.observer_lag_s <= CROSSING_S for each in open_then)
 
 
 def in_flight_at_kill(set_up: SetUp, runs: list[NodeRun]) -> bool:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+LAG_TICK_S = 0.01  # at which the stand-ins look how late their event loop is
+LEAST_LAG_S = 0.005  # recorded
+
 
 class CallerKind(Enum):
     USUAL = "usual"
@@ -45,6 +48,7 @@
     answers: list[FinalAnswer] = field(default_factory=list)
     given_up_at: float | None = None  # CANCEL, or the caller closed the connection
     connection_ended_at: float | None = None
+    observer_lag_s: float = 0.0  # by which the stand-in saw the end late, by its own event loop
     resent: bool = False  # sent once more, as `resend_of` of another record
     resend_refused: bool = False  # the new connection was not accepted
     resend_of: int | None = None  # index of the record it repeats
@@ -100,6 +104,12 @@
     answered_at: float | None = None  # a refusal, an error or a close
 
 
+@dataclass(frozen=True, slots=True)
+class Lag:
+    at: float
+    late_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ColdContract:
     """What a switch that has just started bears, by the settings that the proxy is given."""
@@ -122,4 +132,14 @@
     changes: list[ListChange] = field(default_factory=list)
     runs: list[NodeRun] = field(default_factory=list)
     bad_connections: list[BadConnection] = field(default_factory=list)
-    worst_lag_s: float = 0.0  # of the stand-ins' own event loop
+    lags: list[Lag] = field(default_factory=list)  # of the stand-ins' own event loop
+    last_tick_at: float = 0.0
+
+    @property
+    def worst_lag_s(self) -> float:
+        return max((lag.late_s for lag in self.lags), default=0.0)
+
+    def lag_since(self, begin: float, now: float) -> float:
+        """The most that the stand-ins were late by since a time, the lateness of this moment included."""
+        late_now = max(0.0, now - self.last_tick_at - LAG_TICK_S) if self.last_tick_at else 0.0
+        return max([late_now, *(lag.late_s for lag in self.lags if lag.at >= begin)])
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,7 +30,7 @@
     SwitchTrouble,
     earliest_kill_s,
 )
-from tests.soak.records import NodeRun, Records
+from tests.soak.records import LAG_TICK_S, LEAST_LAG_S, Lag, NodeRun, Records
 from tests.soak.switches import Switch
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -39,7 +39,6 @@
 READY_TEST_GAP_S = 0.02
 AFTER_END_S = (0.05, 0.4)
 LOG_LINES = 400
-LAG_TICK_S = 0.01
 DRAIN_TIME_S = 0.8  # from draining to gone, of a switch that is replaced
 
 
@@ -123,9 +122,11 @@
 
     async def _watch_lag(self) -> None:
         while True:
-            before = monotonic()
+            before = self.records.last_tick_at = monotonic()
             await asyncio.sleep(LAG_TICK_S)
-            self.records.worst_lag_s = max(self.records.worst_lag_s, monotonic() - before - LAG_TICK_S)
+            late_s = monotonic() - before - LAG_TICK_S
+            if late_s > LEAST_LAG_S:
+                self.records.lags.append(Lag(monotonic(), late_s))
 
     # One life of the node
 
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -84,6 +84,10 @@
             set_up(5.0, (), 6.0, id=0x12),
         ),
     ),
+    "crossed a close by more than the lag of the stand-in": (
+        "lost",
+        records(set_up(answers=(), ended=5.09, resent=True, observer_lag_s=0.03)),
+    ),
     "a second answer": ("second answer", records(set_up(answers=((5.2, 503), (5.3, 503))))),
     "served without a switch": ("wrong served", records(set_up(answers=((5.2, 200),)))),
     "an answer that can't be read": ("unreadable answer", records(set_up(unreadable=True))),
@@ -112,6 +116,9 @@
     "served": records(set_up(answers=((5.2, 200),)), attempts=[attempt()]),
     "given up by its caller": records(set_up(answers=(), ended=6.0, given_up_at=5.5)),
     "crossed a close and was sent again": records(set_up(answers=(), ended=5.04, resent=True)),
+    "crossed a close that was seen late": records(
+        set_up(answers=(), ended=5.09, resent=True, observer_lag_s=0.06)
+    ),
     "not whole as the connection ended": records(set_up(None, (), 5.0, began_at=4.9)),
     "unanswered at SIGKILL, came as SIGTERM did": records(
         set_up(10.6, (), 13.8), killed=True, ended_at=13.8, exit_code=-9
