The platform's call table and reports in modules of their own; standard names and units

service.py held types, wire meanings and the dispatcher: the entries of the table and what switches say with a release are modules now (817 to 710 lines). trying is in_flight, proven active, owed pending_releases; constants of times carry their unit. Behaviour is as before; the tests changed in names and imports only.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from enum import Enum, auto
 from math import inf
 
@@ -27,79 +26,39 @@
 from dapplehinge.platform.descriptors import MAX_LINKS
 from dapplehinge.platform.members import Change, Member
 from dapplehinge.platform.offers import Offer, dialled
-from dapplehinge.platform.settings import REPORT_WORDS, Facts, settings_from
+from dapplehinge.platform.reports import NOTES, OUTCOMES, Report
+from dapplehinge.platform.settings import Facts, settings_from
+from dapplehinge.platform.table import MAX_KEPT_RELEASES, Attempt, Call, Link, Peer, UnclaimedRelease
 from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Step
 from dapplehinge.rules import Controller
 
-MARGIN = 50.0
-"""ms that the platform's protocol adds to its time limits: the guard is kept with as much to spare."""
+GUARD_MARGIN_MS = 50.0
+"""What the platform's protocol adds to its time limits: the guard is kept with as much to spare."""
 
-FIRST_GAP, MOST_GAP = 100.0, 1000.0
-"""ms before a link that failed is opened again; doubled each time in a row."""
+FIRST_RECONNECT_DELAY_MS, MAX_RECONNECT_DELAY_MS = 100.0, 1000.0
+"""Before a link that failed is opened again; doubled each time in a row."""
 
-DEAD_AFTER = 1000.0
-"""ms of connections refused without a break after which no process is at the switch's address."""
+DEAD_AFTER_MS = 1000.0
+"""Of connections refused without a break after which no process is at the switch's address."""
 
-QUIET = 1500.0
-"""ms without a word from a switch after which a new connection is tried: that brings the group's state."""
+QUIET_AFTER_MS = 1500.0
+"""Without a word from a switch after which a new connection is tried: that brings the group's state."""
 
-SILENT = 6500.0
-"""ms without any sign of a switch after which its calls are over. The protocol gives 8 s from the end of a
+SILENT_AFTER_MS = 6500.0
+"""Without any sign of a switch after which its calls are over. The protocol gives 8 s from the end of a
 call whose release could not be sent, and it may have ended as the silence began."""
 
-WATCH = 500.0
-"""ms between two looks at which switches are quiet."""
+HEALTH_CHECK_INTERVAL_MS = 500.0
+"""Between two looks at which switches are quiet."""
 
-LATE = 20.0
-"""ms after which a look at a link counts as late: the loop was busy, and something may wait to be read."""
+LATE_LOOK_MS = 20.0
+"""After which a look at a link counts as late: the loop was busy, and something may wait to be read."""
 
-MOST_RELEASES = 4096
-"""Releases kept for a switch to which no link is up."""
-
-RELEASE_KEPT = 8000.0
-"""ms for which a release of an unknown call is remembered: after a restart callers bring back the calls that
+RELEASE_KEPT_MS = 8000.0
+"""For which a release of an unknown call is remembered: after a restart callers bring back the calls that
 stand, while their switches go on releasing them."""
 
-NOTES = {
-    "congestion": api.Cause.NO_CIRCUIT,
-    "crankback": api.Cause.TURNED_BACK,
-    "remote_throttled": api.Cause.TURNED_BACK_FULL,
-    "throttled": api.Cause.PROCESSOR_FULL,
-    "engaged": api.Cause.LINES_ENGAGED,
-}
-OUTCOMES: dict[int, api.Outcome] = {
-    Cause.NO_CIRCUIT: api.Outcome.REJECTED,
-    Cause.USER_BUSY: api.Outcome.LINE_BUSY,
-    Cause.RESOURCE_UNAVAILABLE: api.Outcome.LINE_BUSY,
-    Cause.RECOVERY_ON_TIMER: api.Outcome.NOT_SENT,
-}
-"""What a release before the answer means; with any other cause the set-up was cut."""
-
 DOUBTFUL = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED)
-Report = tuple[tuple[api.Load, float], ...]
-
-
-class ReportError(Exception):
-    """A load report that can't be read."""
-
-
-def report_from(text: str | None) -> Report:
-    """`x0:12;x1:40` as the module's values; fields of unknown names are passed over."""
-    pairs = []
-    for part in (text or "").split(";"):
-        name, colon, value = part.partition(":")
-        if not part.strip():
-            continue
-        try:
-            figure = float(value)
-        except ValueError:
-            figure = inf
-        if not colon or not -1e12 < figure < 1e12:
-            raise ReportError(f"report field {part[:40]!r}")
-        load = REPORT_WORDS.get(name.strip())
-        if load is not None and figure >= 0:
-            pairs.append((load, figure))
-    return tuple(pairs)
 
 
 class _Due(Enum):
@@ -114,79 +73,15 @@
     TEST = auto()  # its id
 
 
-@dataclass(frozen=True, slots=True)
-class UnclaimedRelease:
-    """A switch released a call that is not known (yet)."""
-
-    peer: Peer
-    cause: int
-    at: float  # ms
-
-
-@dataclass(slots=True)
-class Attempt:
-    number: int
-    peer: Peer
-    asked: float
-    due: float
-    link: int = 0  # that it was given to; 0: none yet
-
-
-@dataclass(slots=True)
-class Call:
-    id: int
-    number: int  # the module's name of it
-    conn: int
-    offer: Offer | None  # while it is trying
-    echo: bytes
-    dialled: str
-    history: History | None = None  # while it is trying
-    attempts: int = 0
-    out: Attempt | None = None
-    doubtful_end: float = -inf
-    last: api.Outcome | None = None
-    engaged: bool = False
-    stands_at: Peer | None = None
-
-
-@dataclass(slots=True)
-class Link:
-    """A connection to a switch that is up."""
-
-    since: float
-    heard: float  # when something came on it last
-    suspect: bool = False  # it says nothing though it should
-    out: set[int] = field(default_factory=set)  # ids of the calls out on it
-
-
-@dataclass(slots=True)
-class Peer:
-    """A switch: its links, and what waits for one."""
-
-    number: api.SwitchId
-    id: str
-    address: tuple[str, int]
-    draining: bool = False  # it may refuse new connections, and what stands there goes on
-    links: dict[int, Link] = field(default_factory=dict)
-    last_heard: float = 0.0  # on any link, also those that have gone
-    opening: int = 0  # link that is being made
-    again: bool = False  # one more is to be made after it
-    failures: int = 0
-    refused_since: float = inf
-    wanting: dict[int, Call] = field(default_factory=dict)
-    standing: set[int] = field(default_factory=set)
-    releases: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MOST_RELEASES))
-
-
 class Service:
     def __init__(self, facts: Facts, seed: int) -> None:
         settings = settings_from(facts)
         self.controller = Controller(settings, seed)
         self.connect_within = facts.number("policy_limits.connect_timeout", "500")
         self.answers_within = self.connect_within / 2.0
-        self.interlock = Interlock(settings.guard, 0.0, MARGIN)
+        self.interlock = Interlock(settings.guard, 0.0, GUARD_MARGIN_MS)
         self.calls: dict[int, Call] = {}  # by id, trying and standing
-        self.trying: dict[int, Call] = {}  # by the module's number
+        self.in_flight: dict[int, Call] = {}  # by the module's number
         self.conns: dict[int, set[int]] = {}  # connection -> ids of the calls trying on it
         self.peers: dict[api.SwitchId, Peer] = {}
         self.by_id: dict[str, Peer] = {}
@@ -217,7 +112,7 @@
         self.now = now
         for action in self.controller.start(now):
             self._carry_out(action)
-        self._at(now + WATCH, _Due.WATCH)
+        self._at(now + HEALTH_CHECK_INTERVAL_MS, _Due.WATCH)
 
     def due(self, now: float) -> None:
         self.now = now
@@ -235,8 +130,8 @@
                     peer = self.peers.get(first)
                     if peer is not None and not peer.opening and len(peer.links) < self.links_per_switch:
                         self._open(peer)
-                case _Due.UNHEARD if now - when > LATE:  # what came meanwhile is read first
-                    self._at(now + LATE, what, first, second)
+                case _Due.UNHEARD if now - when > LATE_LOOK_MS:  # what came meanwhile is read first
+                    self._at(now + LATE_LOOK_MS, what, first, second)
                 case _Due.UNHEARD:
                     self._unheard(first, second)
                 case _Due.WATCH:
@@ -256,7 +151,7 @@
     def answer_unanswered(self, now: float) -> None:
         """Give the final answer to each set-up that still lacks one: refused if nothing was ever sent."""
         self.now = now
-        for call in list(self.trying.values()):
+        for call in list(self.in_flight.values()):
             self._gone(call)
             self._respond(call, 504 if call.attempts else 503)
         self._run()
@@ -268,7 +163,7 @@
     def unanswered(self) -> list[str]:
         """One line for each set-up without a final answer: id, age, time left, history."""
         lines = []
-        for call in self.trying.values():
+        for call in self.in_flight.values():
             if call.offer is not None and call.history is not None:
                 age = self.now - call.history.began
                 left = call.offer.budget - age
@@ -277,7 +172,7 @@
 
     def _out(self, number: int, attempt: int) -> Call | None:
         """The trying call whose attempt that is out is this one."""
-        call = self.trying.get(number)
+        call = self.in_flight.get(number)
         return call if call is not None and call.out is not None and call.out.number == attempt else None
 
     def _run(self) -> None:
@@ -359,7 +254,7 @@
         peer.refused_since = min(peer.refused_since, now) if refused else inf
         if refused and peer.links:
             peer.last_heard = now  # it is there: what is dead resets its connections
-        elif not peer.draining and now - peer.refused_since >= DEAD_AFTER:
+        elif not peer.draining and now - peer.refused_since >= DEAD_AFTER_MS:
             self._cut_standing(peer)
         for call in list(peer.wanting.values()):
             self._end_attempt(call, api.Outcome.UNREACHABLE)
@@ -371,7 +266,7 @@
         peer = self.link_peer.get(link)
         if peer is None:
             return
-        if now - peer.links[link].since >= MOST_GAP:
+        if now - peer.links[link].since >= MAX_RECONNECT_DELAY_MS:
             peer.last_heard, peer.failures = now, 0
         self._drop_link(peer, link)
         self._make_up(peer)
@@ -392,7 +287,7 @@
             self._open_later(peer)
 
     def _open_later(self, peer: Peer) -> None:
-        gap = min(MOST_GAP, FIRST_GAP * 2.0 ** min(peer.failures, 8))
+        gap = min(MAX_RECONNECT_DELAY_MS, FIRST_RECONNECT_DELAY_MS * 2.0 ** min(peer.failures, 8))
         peer.failures += 1
         self._at(self.now + gap, _Due.OPEN, peer.number)
 
@@ -445,15 +340,15 @@
             self._open(peer)
 
     def _watch(self) -> None:
-        self._at(self.now + WATCH, _Due.WATCH)
+        self._at(self.now + HEALTH_CHECK_INTERVAL_MS, _Due.WATCH)
         for peer in list(self.peers.values()):
-            if self.now - peer.last_heard < QUIET:
+            if self.now - peer.last_heard < QUIET_AFTER_MS:
                 continue
             for link in peer.links.values():
-                link.suspect = link.suspect or self.now - link.heard >= QUIET
+                link.suspect = link.suspect or self.now - link.heard >= QUIET_AFTER_MS
             if peer.links:
                 self._try_another(peer)
-            if peer.standing and self.now - peer.last_heard >= SILENT:
+            if peer.standing and self.now - peer.last_heard >= SILENT_AFTER_MS:
                 peer.releases.extend((id_, Cause.TEMPORARY_FAILURE) for id_ in sorted(peer.standing))
                 self._cut_standing(peer)
 
@@ -478,7 +373,7 @@
             return
         attempt = call.out
         self._detach(call)
-        del self.trying[call.number]
+        del self.in_flight[call.number]
         self._off_conn(call)
         call.offer, call.stands_at = None, peer
         peer.standing.add(id_)
@@ -510,7 +405,7 @@
         self.unclaimed.pop(id_, None)
         self.unclaimed[id_] = release
         oldest = next(iter(self.unclaimed))
-        if len(self.unclaimed) > MOST_RELEASES or self.now - self.unclaimed[oldest].at > RELEASE_KEPT:
+        if len(self.unclaimed) > MAX_KEPT_RELEASES or self.now - self.unclaimed[oldest].at > RELEASE_KEPT_MS:
             del self.unclaimed[oldest]
 
     def reported(self, link: int, report: Report, now: float) -> None:
@@ -545,7 +440,7 @@
         self._calls_made += 1
         call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number, History(self.now))
         self.metrics.offered += 1
-        self.calls[offer.id] = self.trying[call.number] = call
+        self.calls[offer.id] = self.in_flight[call.number] = call
         self.conns.setdefault(conn, set()).add(offer.id)
         self._events.append(
             api.CallOffered(
@@ -577,7 +472,7 @@
             )
             return
         release = self.unclaimed.pop(offer.id, None)
-        if release is not None and release.peer is peer and self.now - release.at <= RELEASE_KEPT:
+        if release is not None and release.peer is peer and self.now - release.at <= RELEASE_KEPT_MS:
             self.actions.append(act.ReleaseCaller(conn, offer.id, offer.number, release.cause))
             return
         self._calls_made += 1
@@ -632,7 +527,7 @@
         self._detach(call)
         if attempt is not None and attempt.link in attempt.peer.links:
             self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
-        self.trying.pop(call.number, None)
+        self.in_flight.pop(call.number, None)
         self.calls.pop(call.id, None)
         self._off_conn(call)
 
@@ -722,7 +617,7 @@
             case api.Refuse(number, stay_away):
                 self._answer(number, 503, stay_away)
             case api.Fail(number):
-                call = self.trying.get(number)
+                call = self.in_flight.get(number)
                 if call is not None:
                     timed_out = call.last in (api.Outcome.TIMED_OUT, api.Outcome.CANCELLED)
                     self._answer(number, 486 if call.engaged else 504 if timed_out else 500, 0.0)
@@ -745,7 +640,7 @@
                 pass  # the platform has no way between proxies
 
     def _set_up(self, number: int, switch: api.SwitchId, time_out: float) -> None:
-        call = self.trying.get(number)
+        call = self.in_flight.get(number)
         if call is None:
             return
         peer, attempt = self.peers.get(switch), call.attempts
@@ -795,7 +690,7 @@
         )
 
     def _answer(self, number: int, status: int, gap: float) -> None:
-        call = self.trying.get(number)
+        call = self.in_flight.get(number)
         if call is not None:
             self._forget(call)
             self._respond(call, status, gap)
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -1,8 +1,8 @@
 """SIP connections from callers, and the bounds that keep bad ones from costing the others.
 
 What may be done here without the module: bytes, connections, buffers and times are bounded, and what can't
-be read is refused. A connection that says nothing, or half a message, is closed after `SILENCE`; one that
-sends nonsense is read ever more slowly; one that does not read is closed. When there are as many as the
+be read is refused. A connection that says nothing, or half a message, is closed after `IDLE_TIMEOUT_MS`; one
+that sends nonsense is read ever more slowly; one that does not read is closed. When there are as many as the
 descriptors allow, one that carries nothing makes room, silent ones first.
 """
 
@@ -29,17 +29,17 @@
 from dapplehinge.proxy.platform.streams import CHUNK, bounded
 from dapplehinge.sip import codec as sip
 
-MOST_UNREAD = 64 * 1024
-MOST_LOOKS = 64  # connections looked at for room at one go
-BATCH = 32  # connections accepted at one go
-REST = 0.05  # seconds without accepting when descriptors are short
-FINISH = 100.0  # ms that a caller gets to close his end
-LAST_CHUNK = 2 * 1024  # bytes read at one go as a connection ends: taken in a few ms, see FRESH
-LAST_READS = 4  # at one go, so that others get their turn
-FRESH = 35.0  # ms; a set-up that came this shortly before the end crosses it, for which 50 ms are allowed
-SILENCE = 2000.0  # ms
-FIRST_PAUSE, MOST_PAUSE = 0.02, 1.0  # seconds that a connection is not read after nonsense, doubling
-OWED_FOR = 8000.0  # ms that a release is kept for a caller who has no connection
+MAX_UNREAD_BYTES = 64 * 1024
+MAX_LOOKS = 64  # connections looked at for room at one go
+ACCEPT_BATCH = 32  # connections accepted at one go
+ACCEPT_PAUSE_S = 0.05  # without accepting when descriptors are short
+CLOSE_GRACE_MS = 100.0  # that a caller gets to close his end
+LAST_CHUNK_BYTES = 2 * 1024  # bytes read at one go as a connection ends: taken in a few ms, see FRESH_MS
+MAX_LAST_READS = 4  # at one go, so that others get their turn
+FRESH_MS = 35.0  # a set-up that came this shortly before the end crosses it, for which 50 ms are allowed
+IDLE_TIMEOUT_MS = 2000.0
+FIRST_READ_PAUSE_S, MAX_READ_PAUSE_S = 0.02, 1.0  # without reading after nonsense, doubling
+RELEASE_KEPT_MS = 8000.0  # that a release is kept for a caller who has no connection
 
 log = logging.getLogger("dapplehinge.callers")
 
@@ -104,9 +104,9 @@
         self.last_set_up = 0.0  # ms at which the newest one was taken
         self._closing = asyncio.Event()  # connections end as soon as they carry nothing
         self.conns: dict[int, Caller] = {}
-        self.proven: dict[int, Caller] = {}  # the one that was heard last comes last
+        self.active: dict[int, Caller] = {}  # the one that was heard last comes last
         self.partial: dict[int, Caller] = {}  # nothing whole came yet, or a message is not whole
-        self.owed: dict[int, tuple[act.ReleaseCaller, float]] = {}
+        self.pending_releases: dict[int, tuple[act.ReleaseCaller, float]] = {}
         self._numbers = 0
         self._listening: socket.socket | None = None
 
@@ -130,11 +130,11 @@
 
     def _accept_batch(self) -> bool:
         """True: more connections may be waiting."""
-        for _ in range(BATCH):
+        for _ in range(ACCEPT_BATCH):
             if self._listening is None:
                 return False
             if len(self.conns) >= self.most() and not self._make_room():
-                self._rest()
+                self._pause_accepting()
                 return False
             try:
                 sock, _ = self._listening.accept()
@@ -144,26 +144,26 @@
                 if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     log.warning("callers.no_descriptor connections=%d", len(self.conns))
                     self._make_room()
-                    self._rest()
+                    self._pause_accepting()
                     return False
                 continue  # it has gone again
             self._accept(sock)
         return True
 
-    def _rest(self) -> None:
+    def _pause_accepting(self) -> None:
         """Leave the queue alone for a moment: what waits there is served later, and nothing spins."""
         loop, listening = IOLoop.current(), self._listening
         if listening is not None:
             loop.remove_handler(listening)
-            loop.call_later(REST, self._go_on, listening)
+            loop.call_later(ACCEPT_PAUSE_S, self._resume_accepting, listening)
 
-    def _go_on(self, listening: socket.socket) -> None:
+    def _resume_accepting(self, listening: socket.socket) -> None:
         if self._listening is listening:
             IOLoop.current().add_handler(listening, self._accept_some, IOLoop.READ)
 
     def _accept(self, sock: socket.socket) -> None:
         self._numbers += 1
-        caller = Caller(self._numbers, bounded(sock, MOST_UNREAD), self.clock())
+        caller = Caller(self._numbers, bounded(sock, MAX_UNREAD_BYTES), self.clock())
         self.conns[caller.number] = self.partial[caller.number] = caller
         asyncio.ensure_future(self._serve(caller))
 
@@ -173,7 +173,7 @@
         used = (each for each in self.conns.values() if not each.reader.amid)
         amid = (each for each in self.partial.values() if each.reader.amid)
         for pool in (silent, used, amid):
-            for caller in islice(pool, MOST_LOOKS):
+            for caller in islice(pool, MAX_LOOKS):
                 if self._may_close(caller):
                     self._close(caller, CallerClose.MAKES_ROOM)
                     return True
@@ -199,7 +199,7 @@
         if self.conns.pop(caller.number, None) is None:
             return
         self.service.metrics.caller_closes[why] += 1
-        self.proven.pop(caller.number, None)
+        self.active.pop(caller.number, None)
         self.partial.pop(caller.number, None)
         self.service.caller_lost(caller.number, self.clock())
         for action in caller.byes.values():
@@ -209,12 +209,13 @@
     def sweep(self, now: float) -> None:
         """Close what was silent for too long; to be called a few times a second."""
         for caller in list(self.partial.values()):
-            if now - caller.since >= SILENCE:
+            if now - caller.since >= IDLE_TIMEOUT_MS:
                 if caller.reader.amid:
                     self._write(caller, sip.response(408, b""))
                 self._close(caller, CallerClose.SILENT)
-        for id_ in [id_ for id_, (_, since) in self.owed.items() if now - since >= OWED_FOR]:
-            del self.owed[id_]
+        for id_, (_, since) in list(self.pending_releases.items()):
+            if now - since >= RELEASE_KEPT_MS:
+                del self.pending_releases[id_]
 
     async def _serve(self, caller: Caller) -> None:
         why = CallerClose.BY_CALLER
@@ -272,7 +273,7 @@
 
     async def _pause(self, caller: Caller) -> None:
         """Read nothing for a while; what the stream takes in meanwhile can't be seen."""
-        caller.pause = min(MOST_PAUSE, max(FIRST_PAUSE, 2 * caller.pause))
+        caller.pause = min(MAX_READ_PAUSE_S, max(FIRST_READ_PAUSE_S, 2 * caller.pause))
         with contextlib.suppress(asyncio.TimeoutError):
             await asyncio.wait_for(self._closing.wait(), caller.pause)
 
@@ -293,7 +294,7 @@
         now = self.clock()
         for caller in list(self.conns.values()):
             if caller.finishing:
-                if now - caller.since >= FINISH:
+                if now - caller.since >= CLOSE_GRACE_MS:
                     self._close(caller, CallerClose.SHUTDOWN)
             elif caller.stream.closed():
                 self._close(caller, CallerClose.BY_CALLER)
@@ -324,21 +325,21 @@
     def _take_unread(self, caller: Caller) -> bool:
         """Take what the loop has had no time to read; False: that is not possible now.
 
-        True means that nothing was unread within the last `FRESH` ms. With callers who answer each refusal
+        True means that nothing was unread within the last `FRESH_MS` ms. With callers who answer each refusal
         by another set-up there may never be a moment with nothing unread.
         """
         if not caller.settled:
             return False  # its task goes first
         try:
-            for _ in range(LAST_READS):
+            for _ in range(MAX_LAST_READS):
                 if caller.stream.closed() or caller.unreadable:
                     return False
                 asked = self.clock()
-                data = caller.stream.socket.recv(LAST_CHUNK)
+                data = caller.stream.socket.recv(LAST_CHUNK_BYTES)
                 if not data:
                     return False  # its task sees the end, too
                 self._on_data(caller, data)
-                if len(data) < LAST_CHUNK and self.clock() - asked < FRESH:
+                if len(data) < LAST_CHUNK_BYTES and self.clock() - asked < FRESH_MS:
                     return True
         except BlockingIOError:
             return True
@@ -379,15 +380,15 @@
             return False
         self.last_set_up = now
         if offer.standing_at:
-            self._prove(caller)
+            self._mark_active(caller)
         return True
 
-    def _prove(self, caller: Caller) -> None:
+    def _mark_active(self, caller: Caller) -> None:
         """A call stands that came on it, so that it is a caller who can be told of releases."""
-        self.proven.pop(caller.number, None)
-        self.proven[caller.number] = caller
-        if self.owed:
-            owed, self.owed = self.owed, {}
+        self.active.pop(caller.number, None)
+        self.active[caller.number] = caller
+        if self.pending_releases:
+            owed, self.pending_releases = self.pending_releases, {}
             for action, _ in owed.values():
                 self.release(action)
 
@@ -412,14 +413,14 @@
             gap = b"P-Gap-Ms: %d\r\n" % action.gap if action.gap >= 1 else b""
             self._write(caller, sip.response(action.status, action.echo, gap, action.body))
             if action.status == 200:
-                self._prove(caller)
+                self._mark_active(caller)
 
     def release(self, action: act.ReleaseCaller) -> None:
         caller = self.conns.get(action.conn)
         if caller is None or not caller.writable:
-            caller = next((each for each in reversed(self.proven.values()) if each.writable), None)
+            caller = next((each for each in reversed(self.active.values()) if each.writable), None)
         if caller is None:
-            self.owed[action.id] = (action, self.clock())
+            self.pending_releases[action.id] = (action, self.clock())
             return
         call_id = f"{action.id:016x}"
         if self._write(caller, sip.bye(call_id, action.number, action.cause, self.own)):
--- a/dapplehinge/proxy/platform/feed.py
+++ b/dapplehinge/proxy/platform/feed.py
@@ -17,10 +17,10 @@
 from tornado.netutil import Resolver
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-WAIT = 1.5  # seconds asked of the feed; 5 at most by its protocol
-PATIENCE = 1.0  # seconds beyond the wait before a poll counts as lost
-MOST_BYTES = 4 << 20
-LEAST_GAP, MOST_GAP = 0.02, 0.5
+LONG_POLL_WAIT_S = 1.5  # seconds asked of the feed; 5 at most by its protocol
+LONG_POLL_GRACE_S = 1.0  # seconds beyond the wait before a poll counts as lost
+MAX_ANSWER_BYTES = 4 << 20
+MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.02, 0.5
 
 log = logging.getLogger("dapplehinge.feed")
 
@@ -53,43 +53,43 @@
             self._task = None
 
     async def _follow(self) -> None:
-        gap = 0.0
+        delay = 0.0
         while True:
             try:
                 before = self.reached()
                 self.told(await self._poll())
-                gap = 0.0 if self.reached() != before else LEAST_GAP
+                delay = 0.0 if self.reached() != before else MIN_RETRY_DELAY_S
                 if not self._well:
                     self._well = True
                     log.info("feed.back address=%s:%d event=%d", *self.address, self.reached())
             except (HTTPError, OSError, ValueError) as fault:
-                gap = min(MOST_GAP, 2 * gap) if gap else LEAST_GAP
+                delay = min(MAX_RETRY_DELAY_S, 2 * delay) if delay else MIN_RETRY_DELAY_S
                 if self._well:
                     self._well = False
                     log.warning("feed.lost address=%s:%d reason=%s", *self.address, fault)
             except Exception:  # a proxy that no longer asks would send to switches that drain
-                gap = MOST_GAP
+                delay = MAX_RETRY_DELAY_S
                 log.exception("feed.fault address=%s:%d", *self.address)
-            await asyncio.sleep(gap)
+            await asyncio.sleep(delay)
 
     async def _poll(self) -> Any:
         host, port = self.address
         site = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         # a client of its own: the poll of an older address, which may stay silent, must hold up no newer one
-        client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1, max_body_size=MOST_BYTES)
+        client = SimpleAsyncHTTPClient(force_instance=True, max_clients=1, max_body_size=MAX_ANSWER_BYTES)
         poll = client.fetch(
-            f"http://{site}/v1/events?SUB={self.reached()}&wait={int(WAIT * 1000)}",
-            connect_timeout=PATIENCE,
-            request_timeout=WAIT + PATIENCE,
+            f"http://{site}/v1/events?SUB={self.reached()}&wait={int(LONG_POLL_WAIT_S * 1000)}",
+            connect_timeout=LONG_POLL_GRACE_S,
+            request_timeout=LONG_POLL_WAIT_S + LONG_POLL_GRACE_S,
             decompress_response=False,
             follow_redirects=False,
         )
-        poll.add_done_callback(_look_at)
+        poll.add_done_callback(_retrieve_outcome)
         answer = await asyncio.shield(poll)
         return json.loads(answer.body)
 
 
-def _look_at(poll: asyncio.Future[Any]) -> None:
+def _retrieve_outcome(poll: asyncio.Future[Any]) -> None:
     """Take note of how a poll ended that nobody waits for any more, so that it is not logged as an error."""
     if not poll.cancelled():
         poll.exception()
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -15,7 +15,8 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from dapplehinge.isup.codec import Code, IsupError, Message, Reader, Type
-from dapplehinge.platform.service import ReportError, Service, report_from
+from dapplehinge.platform.reports import ReportError, report_from
+from dapplehinge.platform.service import Service
 from dapplehinge.platform.telemetry import LinkClose
 from dapplehinge.proxy.platform.streams import CHUNK, bounded, family_of
 
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -24,8 +24,8 @@
 from dapplehinge.proxy.platform.feed import Feed
 from dapplehinge.proxy.platform.links import Links
 
-SWEEP = 250  # ms
-METRICS_EVERY_MS = 10_000
+SWEEP_INTERVAL_MS = 250  # ms
+METRICS_INTERVAL_MS = 10_000
 SHUTDOWN_TICK_S = 0.005
 
 log = logging.getLogger("dapplehinge.node")
@@ -46,8 +46,8 @@
         self.sock = sock
         self._armed = inf
         self._handle: object | None = None
-        self._sweep = PeriodicCallback(lambda: self.callers.sweep(clock()), SWEEP)
-        self._metrics = PeriodicCallback(self._log_metrics, METRICS_EVERY_MS)
+        self._sweep = PeriodicCallback(lambda: self.callers.sweep(clock()), SWEEP_INTERVAL_MS)
+        self._metrics = PeriodicCallback(self._log_metrics, METRICS_INTERVAL_MS)
 
     def start(self) -> None:
         self.service.start(clock())
@@ -148,7 +148,7 @@
 
     def _advance_shutdown(self, loop_lag: float) -> None:
         before, now = self.shutdown.phase, clock()
-        unanswered, connections = len(self.service.trying), len(self.callers.conns)
+        unanswered, connections = len(self.service.in_flight), len(self.callers.conns)
         load = Load(unanswered, connections, self.callers.last_set_up, loop_lag)
         phase = self.shutdown.advance(now, load)
         if self.service.answer_by != self.shutdown.answer_by:
@@ -179,6 +179,6 @@
         log.info("node.metrics connections=%d %s", len(self.callers.conns), self.service.metrics.summary())
 
     def _held(self) -> tuple[int, int]:
-        trying = len(self.service.trying)
+        trying = len(self.service.in_flight)
         return trying, len(self.service.calls) - trying
 
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -5,7 +5,7 @@
 
 from dapplehinge.platform.actions import ReleaseCaller, Respond
 from dapplehinge.platform.shutdown import CROSSING_MS
-from dapplehinge.proxy.platform.callers import REST, Callers
+from dapplehinge.proxy.platform.callers import ACCEPT_PAUSE_S, Callers
 from tests.platform_kit import Rig, of, said
 from tests.test_platform_live import PATIENCE
 
@@ -37,18 +37,18 @@
     async def scenario(rig, callers, addr):
         _, used = await asyncio.open_connection(*addr)
         used.write(said(0x11))
-        await until(lambda: rig.service.trying)
+        await until(lambda: rig.service.in_flight)
         silent = [await asyncio.open_connection(*addr) for _ in range(2)]
         await until(lambda: len(callers.conns) == 3)
         first = set(callers.conns)
         more = [await asyncio.open_connection(*addr) for _ in range(2)]
-        await asyncio.sleep(2 * REST)
+        await asyncio.sleep(2 * ACCEPT_PAUSE_S)
         assert set(callers.conns) == first  # the silent ones are new: those that come wait to be accepted
         rig.now += CROSSING_MS
         for reader, _ in silent:
             assert await reader.read() == b""
         await until(lambda: len(callers.conns) == 3)
-        assert rig.service.trying and len(more) == 2
+        assert rig.service.in_flight and len(more) == 2
 
     played(scenario)
 
@@ -64,7 +64,7 @@
             pass
         rig.now += CROSSING_MS
         assert not callers._make_room()  # in the same turn, before the loop has read it
-        await until(lambda: rig.service.trying)
+        await until(lambda: rig.service.in_flight)
 
     played(scenario)
 
@@ -86,18 +86,18 @@
     async def scenario(rig, callers, addr):
         first, writer = await asyncio.open_connection(*addr)
         writer.write(said(0x11, "at:s-1"))
-        await until(lambda: callers.proven)
+        await until(lambda: callers.active)
         stranger, other = await asyncio.open_connection(*addr)
         other.write(said(0x12))
-        await until(lambda: rig.service.trying)
+        await until(lambda: rig.service.in_flight)
         writer.close()
-        await until(lambda: not callers.proven)
+        await until(lambda: not callers.active)
         [bye] = of(rig.released(0x11), ReleaseCaller)
         callers.release(bye)
-        assert 0x11 in callers.owed  # nobody who is known to be a caller is there
+        assert 0x11 in callers.pending_releases  # nobody who is known to be a caller is there
         again, third = await asyncio.open_connection(*addr)
         third.write(said(0x13, "at:s-1"))
-        assert b"BYE sip:" in await again.read(1000) and not callers.owed
+        assert b"BYE sip:" in await again.read(1000) and not callers.pending_releases
 
     played(scenario)
 
@@ -128,7 +128,7 @@
         callers.finish_idle()
         assert not caller.finishing
         writer.write(said(0x11)[60:])
-        await until(lambda: rig.service.trying)
+        await until(lambda: rig.service.in_flight)
 
     played(scenario)
 
@@ -138,7 +138,7 @@
         with socket.create_connection(addr) as waiting:
             waiting.sendall(said(0x11))
             callers.stop_listening()  # in the same turn, before the loop has accepted it
-            await until(lambda: rig.service.trying)
+            await until(lambda: rig.service.in_flight)
 
     played(scenario)
 
@@ -218,12 +218,12 @@
     async def scenario(rig, callers, addr):
         ended, first = await asyncio.open_connection(*addr)
         first.write(said(0x11, "at:s-1"))
-        await until(lambda: callers.proven)
+        await until(lambda: callers.active)
         [caller] = callers.conns.values()
         caller.finishing = True
         other, second = await asyncio.open_connection(*addr)
         second.write(said(0x12, "at:s-1"))
-        await until(lambda: len(callers.proven) == 2)
+        await until(lambda: len(callers.active) == 2)
         [bye] = of(rig.released(0x11), ReleaseCaller)
         callers.release(bye)
         assert b"BYE sip:" in await other.read(1000)
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -8,7 +8,8 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.members import FeedError, Members
 from dapplehinge.platform.offers import OfferError, OfferReader
-from dapplehinge.platform.service import NOTES, OUTCOMES, RELEASE_KEPT, ReportError, report_from
+from dapplehinge.platform.reports import NOTES, OUTCOMES, ReportError, report_from
+from dapplehinge.platform.service import RELEASE_KEPT_MS
 from dapplehinge.platform.settings import Facts, settings_from
 from tests.platform_kit import SETTINGS, Rig, event, invite, of, row, told
 
@@ -157,7 +158,7 @@
     rig.now += 1300
     rig.service.due(rig.now)
     assert len(of(rig.taken(), act.Respond)) == 1
-    assert not of(rig.answered(), act.Respond) and not rig.service.trying
+    assert not of(rig.answered(), act.Respond) and not rig.service.in_flight
 
 
 def test_cancel_gives_up_and_a_crossing_answer_is_released(rig):
@@ -179,7 +180,7 @@
 
 def test_cancel_from_another_connection_is_nobody_s(rig):
     rig.offer()
-    assert not rig.service.given_up(2, 0x11, rig.now) and rig.service.trying
+    assert not rig.service.given_up(2, 0x11, rig.now) and rig.service.in_flight
 
 
 def test_a_caller_lost_while_trying_is_given_up(rig):
@@ -457,7 +458,7 @@
         rig.wait(5)
     rig.wait(10_000)
     service = rig.service
-    assert not service.calls and not service.trying and not service.conns
+    assert not service.calls and not service.in_flight and not service.conns
     for peer in service.peers.values():
         assert not peer.standing and not any(link.out for link in peer.links.values())
     assert len(service._agenda.things()) < 10
@@ -513,7 +514,7 @@
 def test_a_release_by_another_switch_or_long_ago_does_not_end_a_call_that_is_brought_back(rig):
     rig.released(0x31, place=2)
     rig.released(0x32)
-    rig.wait(RELEASE_KEPT + 1)
+    rig.wait(RELEASE_KEPT_MS + 1)
     for call in (0x31, 0x32):
         assert rig.service.offered(4, rig.offers.read(invite(call, path="at:s-1")), b"", rig.now)
     assert not of(rig.taken(), act.ReleaseCaller) and len(rig.peer(1).standing) == 2
--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -93,7 +93,7 @@
     seen = rig.taken() + rig.wait(1000.0)
     assert sorted(each.status for each in of(seen, act.Respond)) == [503, 504]
     assert of(seen, act.SendRelease) == [act.SendRelease(rig.link(1), 0x11, 16)]
-    assert not rig.service.trying
+    assert not rig.service.in_flight
 
 
 def test_what_is_offered_after_that_time_is_refused_at_once():
