--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,10 @@
     expect_clean(run_trial(many_switches(100)))
 
 
+def test_a_cold_switch_beside_full_ones_is_not_pushed_over():
+    expect_clean(run_trial(draw(258, cycles=3)))
+
+
 def expect_clean(trial: Trial) -> None:
     if trial.violations:
         pytest.fail(f"{trial.summary()}\n{trial.details(with_log=True)}", pytrace=False)
