Platform: calls that callers bring back are bounded by the circuits of their switch

Cause: `_stands_already` kept every such call; nothing confirms one, only a release by somebody who knows it ends it.

Without sockets: 5,000 names, 5,000 entries of the call table, so it is the table and not the connection's buffers. The new tests can't run on the code before (the group's size was not kept); the same steps gave the 5,000 entries.

A group holds no more calls than it has circuits, as its switch tells: twice that may be brought back there, 4,096 at all switches. Without room the connection that named the most gives way; that call is released on both sides, counted, and the connection is read more slowly.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections import deque
-from enum import Enum, auto
+from enum import Enum, IntEnum, auto
 from math import inf
 
 from dapplehinge import interface as api
@@ -27,9 +27,10 @@
 from dapplehinge.platform.members import Change, Member
 from dapplehinge.platform.offers import Offer, dialled
 from dapplehinge.platform.reports import NOTES, OUTCOMES, Report
+from dapplehinge.platform.restored import RestoredCalls
 from dapplehinge.platform.settings import Facts, settings_from
 from dapplehinge.platform.table import MAX_KEPT_RELEASES, Attempt, Call, Link, Peer, UnclaimedRelease
-from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Step
+from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Shed, Step
 from dapplehinge.rules import Controller
 
 GUARD_MARGIN_MS = 50.0
@@ -73,6 +74,14 @@
     TEST = auto()  # its id
 
 
+class Admission(IntEnum):
+    """What became of a set-up as it was offered; false where it was not taken."""
+
+    ID_IN_USE = 0
+    TAKEN = 1
+    SHED = 2  # a bound was reached; its caller is told that it is over
+
+
 class Service:
     def __init__(self, facts: Facts, seed: int) -> None:
         settings = settings_from(facts)
@@ -90,6 +99,7 @@
         self.actions: list[act.Action] = []
         self.metrics = Metrics()
         self.links_per_switch = MAX_LINKS
+        self.restored = RestoredCalls()
         self.unclaimed: dict[int, UnclaimedRelease] = {}  # by call id, the oldest first
         self.answer_by = inf  # ms at which a shutdown ends all calls
         self.now = 0.0
@@ -390,6 +400,7 @@
         if peer is None:
             return
         self.actions.append(act.SendComplete(link, id_))
+        self._note_group(peer, report)
         if call is None:
             self._keep_unclaimed(id_, UnclaimedRelease(peer, cause, now))
             return
@@ -412,9 +423,16 @@
         self.now = now
         peer = self.link_peer.get(link)
         if peer is not None:
+            self._note_group(peer, report)
             self._events.append(api.SwitchReport(peer.number, False, True, 0.0, report))
             self._run()
 
+    @staticmethod
+    def _note_group(peer: Peer, report: Report) -> None:
+        for load, value in report:
+            if load is api.Load.GROUP_SIZE:
+                peer.circuits = int(value)
+
     def tested(self, link: int, id_: int, passed: bool, report: Report, now: float) -> None:
         self.now = now
         self._test_ended(id_, passed, report)
@@ -427,16 +445,16 @@
 
     # What callers say
 
-    def offered(self, conn: int, offer: Offer, echo: bytes, now: float) -> bool:
-        """A set-up; False if its id is in use already, and it was not taken."""
+    def offered(self, conn: int, offer: Offer, echo: bytes, now: float) -> Admission:
+        """A set-up, or with `standing_at` a call that stands already."""
         self.now = now
         known = self.calls.get(offer.id)
         if offer.standing_at:
-            self._stands_already(conn, offer, known)
+            admission = self._stands_already(conn, offer, known)
             self._run()
-            return True
+            return admission
         if known is not None:
-            return False
+            return Admission.ID_IN_USE
         self._calls_made += 1
         call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number, History(self.now))
         self.metrics.offered += 1
@@ -458,27 +476,45 @@
             )
         )
         self._run()
-        return True
+        return Admission.TAKEN
 
-    def _stands_already(self, conn: int, offer: Offer, known: Call | None) -> None:
+    def _stands_already(self, conn: int, offer: Offer, known: Call | None) -> Admission:
         peer = self.by_id.get(offer.standing_at)
         if known is not None:
             if known.stands_at is peer:
                 known.conn = conn
-            return
+                if known.id in self.restored:
+                    self.restored.add(known, conn)
+            return Admission.TAKEN
         if peer is None:  # its switch has left
             self.actions.append(
                 act.ReleaseCaller(conn, offer.id, offer.number, Cause.TEMPORARY_FAILURE)
             )
-            return
+            return Admission.TAKEN
         release = self.unclaimed.pop(offer.id, None)
         if release is not None and release.peer is peer and self.now - release.at <= RELEASE_KEPT_MS:
             self.actions.append(act.ReleaseCaller(conn, offer.id, offer.number, release.cause))
-            return
+            return Admission.TAKEN
+        return self._restore(conn, offer, peer)
+
+    def _restore(self, conn: int, offer: Offer, peer: Peer) -> Admission:
         self._calls_made += 1
         call = Call(offer.id, self._calls_made, conn, None, b"", offer.number, stands_at=peer)
         self.calls[offer.id] = call
         peer.standing.add(offer.id)
+        self.restored.add(call, conn)
+        surplus = self.restored.surplus(peer)
+        if surplus is None:
+            return Admission.TAKEN
+        self.metrics.shed[Shed.RESTORED_CALL] += 1
+        self._end_on_both_sides(surplus)
+        return Admission.SHED if surplus is call else Admission.TAKEN
+
+    def _end_on_both_sides(self, call: Call) -> None:
+        """The proxy itself ends a call that stands."""
+        if call.stands_at is not None:
+            self._release(call.stands_at, 0, call.id, Cause.TEMPORARY_FAILURE)
+        self._over(call, Cause.TEMPORARY_FAILURE, api.Outcome.CUT, ())
 
     def given_up(self, conn: int, id_: int, now: float) -> bool:
         """CANCEL. False: no such call is trying on this connection. One that stands by now is released."""
@@ -508,6 +544,7 @@
     def caller_lost(self, conn: int, now: float) -> None:
         """A caller's connection closed: what was trying on it is given up, what stands goes on."""
         self.now = now
+        self.restored.connection_closed(conn)
         for id_ in self.conns.pop(conn, set()):
             call = self.calls.get(id_)
             if call is not None and call.offer is not None:
@@ -544,6 +581,7 @@
         """A standing call has ended."""
         peer = call.stands_at
         del self.calls[call.id]
+        self.restored.remove(call.id)
         if peer is None:
             return
         peer.standing.discard(call.id)
--- a/dapplehinge/platform/table.py
+++ b/dapplehinge/platform/table.py
@@ -66,6 +66,7 @@
     refused_since: float = inf
     wanting: dict[int, Call] = field(default_factory=dict)
     standing: set[int] = field(default_factory=set)
+    circuits: int = 0  # of the group to it, as it told last; 0: not told yet
     releases: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MAX_KEPT_RELEASES))
 
 
--- a/dapplehinge/platform/telemetry.py
+++ b/dapplehinge/platform/telemetry.py
@@ -49,6 +49,12 @@
     SWITCH_GONE = "switch-gone"
 
 
+class Shed(Enum):
+    """What was given up or refused since a bound was reached."""
+
+    RESTORED_CALL = "restored-call"  # more calls were named at a switch than it can hold
+
+
 @dataclass(frozen=True, slots=True)
 class Transition:
     at: float  # ms
@@ -92,6 +98,7 @@
     attempt_ends: Counter[str] = field(default_factory=Counter)  # by outcome
     caller_closes: Counter[CallerClose] = field(default_factory=Counter)
     link_closes: Counter[LinkClose] = field(default_factory=Counter)
+    shed: Counter[Shed] = field(default_factory=Counter)
 
     def summary(self) -> str:
         """All counters that are not 0, as `name=value` words."""
@@ -101,4 +108,5 @@
         words += [f"attempt.{outcome}={count}" for outcome, count in sorted(self.attempt_ends.items())]
         words += [f"caller-close.{why.value}={count}" for why, count in self.caller_closes.items()]
         words += [f"link-close.{why.value}={count}" for why, count in self.link_closes.items()]
+        words += [f"shed.{what.value}={count}" for what, count in self.shed.items()]
         return " ".join(words)
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -23,7 +23,7 @@
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.offers import OfferError, OfferReader, call_id_of
-from dapplehinge.platform.service import Service
+from dapplehinge.platform.service import Admission, Service
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose
 from dapplehinge.proxy.platform.streams import CHUNK, bounded
@@ -375,8 +375,10 @@
         except OfferError:
             self._write(caller, sip.response(400, echo))
             return False
-        if not self.service.offered(caller.number, offer, echo, now):
+        admission = self.service.offered(caller.number, offer, echo, now)
+        if admission is Admission.ID_IN_USE:
             self._write(caller, sip.response(482, echo))
+        if admission is not Admission.TAKEN:
             return False
         self.last_set_up = now
         if offer.standing_at:
--- /dev/null
+++ b/tests/test_platform_bounds.py
@@ -0,0 +1,58 @@
+"""What clients, switches or the feed may fill is bounded, and a bound costs the one that filled it."""
+
+from dapplehinge.platform import actions as act
+from dapplehinge.platform.reports import report_from
+from dapplehinge.platform.restored import CALLS_PER_CIRCUIT, MAX_RESTORED_CALLS
+from dapplehinge.platform.service import Admission
+from dapplehinge.platform.telemetry import Shed
+from tests.platform_kit import Rig, invite, of
+
+SOUND, BAD = 1, 2  # connections
+CIRCUITS = 20
+
+
+def bring_back(rig, call, conn, place=1):
+    offer = rig.offers.read(invite(call, path=f"dest:1;width:1;via:-1;at:s-{place}", time_left=""))
+    admission = rig.service.offered(conn, offer, b"", rig.now)
+    return admission, rig.taken()
+
+
+def test_calls_that_no_switch_knows_named_by_a_bad_client_do_not_fill_the_memory():
+    rig = Rig()
+    rig.service.reported(rig.link(1), report_from(f"x0:{CIRCUITS};x1:{CIRCUITS}"), rig.now)
+    sound = range(0x100, 0x100 + CIRCUITS // 2)
+    for call in sound:
+        assert bring_back(rig, call, SOUND)[0] is Admission.TAKEN
+    shed = []
+    for call in range(0x10000, 0x10000 + 5000):
+        shed += of(bring_back(rig, call, BAD)[1], act.ReleaseCaller)
+    kept = CALLS_PER_CIRCUIT * CIRCUITS
+    assert len(rig.service.calls) == len(rig.peer(1).standing) == len(rig.service.restored) == kept
+    assert all(call in rig.service.calls for call in sound)
+    assert len(shed) == rig.service.metrics.shed[Shed.RESTORED_CALL] == 5000 - kept + len(sound)
+    assert {action.conn for action in shed} == {BAD}
+
+
+def test_a_bad_client_that_came_first_does_not_take_the_place_of_calls_brought_back_by_others():
+    rig = Rig()
+    rig.service.reported(rig.link(1), report_from(f"x0:{CIRCUITS};x1:{CIRCUITS}"), rig.now)
+    for call in range(0x10000, 0x10000 + 200):
+        bring_back(rig, call, BAD + call % 7)  # several connections
+    for conn in range(BAD, BAD + 7):
+        rig.service.caller_lost(conn, rig.now)
+    for call in range(0x100, 0x100 + CIRCUITS // 2):
+        admission, seen = bring_back(rig, call, SOUND)
+        assert admission is Admission.TAKEN
+        [ended] = of(seen, act.ReleaseCaller)  # told on both sides, in case it was a call
+        assert [a.id for a in of(seen, act.SendRelease)] == [ended.id] and ended.id >= 0x10000
+    assert len(rig.service.restored) == CALLS_PER_CIRCUIT * CIRCUITS
+
+
+def test_calls_named_at_switches_that_have_told_no_group_are_bounded_together():
+    rig = Rig()
+    for call in range(0x10000, 0x10000 + MAX_RESTORED_CALLS + 500):
+        bring_back(rig, call, BAD, place=call % 4)
+    assert len(rig.service.calls) == len(rig.service.restored) == MAX_RESTORED_CALLS
+    for call in list(rig.service.calls):
+        assert rig.service.caller_released(BAD, call, 16, rig.now)
+    assert not rig.service.calls and not len(rig.service.restored) and not rig.service.restored._by_holder
