Tables that callers fill are bounded: unserved exchanges, engaged numbers, stale timers

`arrivals` kept a rate for each exchange named, served or not; `engaged` kept each number found engaged for ever; timers of set-ups that ended at once stayed until the end of their time, in the module and in the service.

Evidence: three tests in `tests/test_platform_bounds.py`, all of which fail on the code before.

Change: a rate is kept only for exchanges of the list, whose rate alone is asked for; 4,096 engaged numbers, the oldest goes first; both agendas are cleared of ended calls as they grow. Order and times of what is left are the same, so that the module decides as before.

--- a/dapplehinge/calls/agenda.py
+++ b/dapplehinge/calls/agenda.py
@@ -19,6 +19,9 @@
         self._ticket += 1
         heappush(self._heap, (due, self._ticket, thing))
 
+    def __len__(self) -> int:
+        return len(self._heap)
+
     @property
     def due(self) -> float:
         """When the next thing falls due; infinite where there is none."""
--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -59,6 +59,9 @@
 """For which a release of an unknown call is remembered: after a restart callers bring back the calls that
 stand, while their switches go on releasing them."""
 
+MIN_PRUNED_TIMERS = 2000
+"""Below this many timers those of ended attempts stay until they fall due."""
+
 DOUBTFUL = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED)
 
 
@@ -108,6 +111,7 @@
         self._tests_made = 0
         self._events: deque[api.Event] = deque()
         self._agenda: Agenda[tuple[_Due, int, int]] = Agenda()
+        self._prune_above = MIN_PRUNED_TIMERS
 
     # Clock
 
@@ -117,6 +121,14 @@
 
     def _at(self, when: float, what: _Due, first: int = 0, second: int = 0) -> None:
         self._agenda.at(when, (what, first, second))
+        if len(self._agenda) > self._prune_above:
+            self._agenda.keep(self._still_wanted)
+            self._prune_above = max(MIN_PRUNED_TIMERS, 2 * len(self._agenda))
+
+    def _still_wanted(self, timer: tuple[_Due, int, int]) -> bool:
+        """False: the attempt that it is about has ended."""
+        what, first, second = timer
+        return what not in (_Due.ATTEMPT, _Due.HELD) or self._out(first, second) is not None
 
     def start(self, now: float) -> None:
         self.now = now
--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import ceil, exp, floor, inf, sqrt
 from random import Random
 from typing import Any
@@ -66,6 +66,8 @@
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
 LITTLE_WORTH = 0.5  # share of the mean worth: below it a call gets no last circuit and no tandem
 MOST_DOUBLINGS = 2  # a shut rung's rest grows to 4 C, well within the target: it must see the end of trouble
+MAX_ENGAGED_NUMBERS = 4096  # remembered; callers may dial ever new ones
+MAX_STALE_LOOKS = 1000  # entries of the agenda beyond twice the calls, whose calls have ended
 WORTH_CALLS = 50  # calls over which the mean worth is learnt: some seconds of one proxy's traffic
 MOST_FAVOUR = 2.0  # most that a call's worth may raise its spill share: p must still bound the feed
 TENANT_FORGET = 0.01  # weight of the newest call in the tenants' shares: about a hundred calls count
@@ -233,10 +235,7 @@
             kept = exp(-gap / RATE_SPAN)
             self.offers = self.offers * kept + 1.0
             self.offers_span = self.offers_span * kept + gap
-            past = self.arrivals.get(offer.destination)
-            if past is None:
-                past = self.arrivals[offer.destination] = deque(maxlen=RATE_CALLS + 1)
-            past.append(self.now)
+            self.note_arrival(offer.destination)
         call.worth = self.worth(offer)
         if not offer.in_transit:
             gain = call.worth - self.mean_worth
@@ -247,6 +246,14 @@
             self.look_again(call, call.due)
             self.advance(call)
 
+    def note_arrival(self, destination: int) -> None:
+        past = self.arrivals.get(destination)
+        if past is None:
+            if destination not in self.target:
+                return  # no route: its rate is never asked for, and callers may name any
+            past = self.arrivals[destination] = deque(maxlen=RATE_CALLS + 1)
+        past.append(self.now)
+
     def stands(self, event: CallStands) -> None:
         call = self.calls.get(event.call)
         if call is None or call.rung is None or call.out_to != event.switch:
@@ -278,6 +285,13 @@
             self.engaged[offer.number] = (rest, self.now + rest)
         return False
 
+    def rest_number(self, number: int) -> None:
+        before, _ = self.engaged.pop(number, (ENGAGED_REST / 2, 0.0))
+        rest = min(ENGAGED_REST_MOST, 2 * before)
+        self.engaged[number] = (rest, self.now + rest)
+        if len(self.engaged) > MAX_ENGAGED_NUMBERS:
+            del self.engaged[next(iter(self.engaged))]  # the one that was found engaged longest ago
+
     def ended(self, event: AttemptEnded) -> None:
         call = self.calls.get(event.call)
         if call is None or call.rung is None:
@@ -319,8 +333,7 @@
         elif outcome is Outcome.LINE_BUSY and event.cause is Cause.LINES_ENGAGED:
             number = call.offer.number
             if number:
-                rest = min(ENGAGED_REST_MOST, 2 * self.engaged.get(number, (ENGAGED_REST / 2, 0.0))[0])
-                self.engaged[number] = (rest, self.now + rest)
+                self.rest_number(number)
             self.end_failed(call)
         else:
             if outcome is not Outcome.NOT_SENT:
@@ -725,6 +738,9 @@
 
     def look_again(self, call: Call, when: float) -> None:
         heappush(self.agenda, (when, call.offer.call))
+        if len(self.agenda) > 2 * len(self.calls) + MAX_STALE_LOOKS:
+            self.agenda = [entry for entry in self.agenda if entry[1] in self.calls]
+            heapify(self.agenda)
 
     def set_timer(self) -> None:
         """One timer for the earliest look at a call that is still here; a new one only if that is earlier."""
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -1,10 +1,13 @@
 """What clients, switches or the feed may fill is bounded, and a bound costs the one that filled it."""
 
+from dapplehinge import interface as api
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.reports import report_from
 from dapplehinge.platform.restored import CALLS_PER_CIRCUIT, MAX_RESTORED_CALLS
 from dapplehinge.platform.service import Admission
 from dapplehinge.platform.telemetry import Shed
+from dapplehinge.rules import MAX_ENGAGED_NUMBERS
+from tests.conftest import Proxy
 from tests.platform_kit import Rig, invite, of
 
 SOUND, BAD = 1, 2  # connections
@@ -56,3 +59,31 @@
     for call in list(rig.service.calls):
         assert rig.service.caller_released(BAD, call, 16, rig.now)
     assert not rig.service.calls and not len(rig.service.restored) and not rig.service.restored._by_holder
+
+
+def test_calls_to_ever_new_exchanges_that_nobody_serves_leave_nothing_behind():
+    proxy = Proxy()
+    for destination in range(1000, 3000):
+        proxy.offer(destination)
+        proxy.wait(1)
+    assert set(proxy.controller.arrivals) <= set(range(4)) and not proxy.controller.calls
+
+
+def test_ever_new_numbers_that_are_engaged_are_not_remembered_without_end():
+    proxy = Proxy()
+    for number in range(1, 2 * MAX_ENGAGED_NUMBERS):
+        proxy.offer(1, number=number)
+        proxy.ended(proxy.calls, 1, api.Outcome.LINE_BUSY, api.Cause.LINES_ENGAGED)
+        proxy.wait(1)
+    engaged = proxy.controller.engaged
+    assert len(engaged) == MAX_ENGAGED_NUMBERS and number in engaged and 1 not in engaged
+
+
+def test_set_ups_that_are_withdrawn_at_once_leave_no_timers_behind():
+    rig = Rig()
+    for call in range(0x100, 0x100 + 8000):
+        rig.offer(call, time_left="9000")
+        rig.service.given_up(1, call, rig.now)
+        rig.taken()
+        rig.wait(0.5)
+    assert len(rig.service._agenda.things()) < 3000 and len(rig.service.controller.agenda) < 3000
