Platform: calls stand at the process that their link led to, not at an id

Cause: `_watch`, `link_failed` and `_changed` end calls when nothing answers at the id any more; a successor under the same id answers. The start that the list tells was read by the module only.

The record shows the switch back at 5 s, new links with an empty group at once, the new start in the feed 1.5 s later, and nothing sent to callers.

Change: a link leads to the process that ran when it came up. A later start, or another address, on the list closes earlier links and ends the calls set up on them; what was out there is in doubt and waits out the guard. A new link that brings the state of an empty group ends, a second later, calls whose links have gone, so that no word of the list is needed.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -10,11 +10,16 @@
 A call that stands belongs to no connection. It is over when its switch or its caller releases it, when its
 switch has left the list, or when no link to the switch is left and connections are refused without a break:
 then no process is there that could release it. A switch that drains may refuse connections and carry on.
+
+A switch's id and address outlive its process. A call stands at the process that its link led to: it is over,
+too, when the list tells that another process started after that link came up, or when a later link brings the
+state of an empty group.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Set
 from enum import Enum, IntEnum, auto
 from math import inf
 
@@ -52,6 +57,10 @@
 HEALTH_CHECK_INTERVAL_MS = 500.0
 """Between two looks at which switches are quiet."""
 
+EMPTY_GROUP_MS = 1000.0
+"""After which calls that stood before a link came up are over if the group was told on it as empty: the
+releases of those that ended meanwhile come first."""
+
 LATE_LOOK_MS = 20.0
 """After which a look at a link counts as late: the loop was busy, and something may wait to be read."""
 
@@ -73,6 +82,7 @@
     HELD = auto()  # call, attempt
     OPEN = auto()  # switch
     UNHEARD = auto()  # link, ms at which a set-up went out on it
+    EMPTY_GROUP = auto()  # switch, link that brought its state
     WATCH = auto()
     TEST = auto()  # its id
 
@@ -105,7 +115,7 @@
         self.restored = RestoredCalls()
         self.unclaimed: dict[int, UnclaimedRelease] = {}  # by call id, the oldest first
         self.answer_by = inf  # ms at which a shutdown ends all calls
-        self.now = 0.0
+        self.now = self.began = 0.0
         self._calls_made = 0
         self._links_made = 0
         self._tests_made = 0
@@ -131,7 +141,7 @@
         return what not in (_Due.ATTEMPT, _Due.HELD) or self._out(first, second) is not None
 
     def start(self, now: float) -> None:
-        self.now = now
+        self.now = self.began = now
         for action in self.controller.start(now):
             self._carry_out(action)
         self._at(now + HEALTH_CHECK_INTERVAL_MS, _Due.WATCH)
@@ -156,6 +166,8 @@
                     self._at(now + LATE_LOOK_MS, what, first, second)
                 case _Due.UNHEARD:
                     self._unheard(first, second)
+                case _Due.EMPTY_GROUP:
+                    self._end_calls_without_circuit(first, second)
                 case _Due.WATCH:
                     self._watch()
                 case _Due.TEST:
@@ -213,6 +225,7 @@
             peer = self.peers.get(member.number)
             if peer is None and state is not api.SwitchState.GONE:
                 peer = Peer(member.number, member.id, member.address, last_heard=now)
+                peer.started_at = member.entry.started_at
                 peer.draining = state is api.SwitchState.DRAINING
                 self.peers[member.number] = peer
                 self.by_id[member.id] = peer
@@ -222,7 +235,8 @@
         self._run()
 
     def _changed(self, peer: Peer, member: Member) -> None:
-        peer.address = member.address
+        if member.entry.state is not api.SwitchState.GONE:
+            self._note_process(peer, member)
         peer.draining = member.entry.state is api.SwitchState.DRAINING
         if member.entry.state is api.SwitchState.READY:
             return
@@ -237,6 +251,32 @@
             self._cut_standing(peer)
             peer.releases.clear()
 
+    def _note_process(self, peer: Peer, member: Member) -> None:
+        """Where the list tells another process under the id, what led to the one before is over."""
+        started = member.entry.started_at
+        if member.address != peer.address:
+            self._end_process(peer, self.now)
+        elif started > peer.started_at:
+            self._end_process(peer, started)
+        else:
+            return
+        peer.address = member.address
+        peer.started_at = max(peer.started_at, started)
+        if not peer.links and not peer.opening:
+            self._open(peer)
+
+    def _end_process(self, peer: Peer, ended: float) -> None:
+        """Links that came up before `ended` lead nowhere, and the calls that were set up on them are cut."""
+        earlier = [number for number, link in peer.links.items() if link.since < ended]
+        if peer.opening and ended >= self.now:
+            earlier.append(peer.opening)
+        for link in earlier:
+            self._drop_link(peer, link)
+            self.metrics.link_closes[LinkClose.PROCESS_REPLACED] += 1
+            self.actions.append(act.CloseLink(link))
+        self._cut_standing(peer, {id_ for id_ in peer.standing if self.calls[id_].linked_at < ended})
+        peer.refused_since, peer.failures = inf, 0
+
     # Links
 
     def _open(self, peer: Peer) -> None:
@@ -398,6 +438,7 @@
         del self.in_flight[call.number]
         self._off_conn(call)
         call.offer, call.stands_at = None, peer
+        call.link, call.linked_at = link, peer.links[link].since
         peer.standing.add(id_)
         self._respond(call, 200, 0.0, description)
         call.echo = b""
@@ -436,14 +477,15 @@
         peer = self.link_peer.get(link)
         if peer is not None:
             self._note_group(peer, report)
+            if 0 < peer.circuits <= dict(report).get(api.Load.FREE_CIRCUITS, 0.0):
+                self._group_empty(peer, link)
             self._events.append(api.SwitchReport(peer.number, False, True, 0.0, report))
             self._run()
 
     @staticmethod
     def _note_group(peer: Peer, report: Report) -> None:
-        for load, value in report:
-            if load is api.Load.GROUP_SIZE:
-                peer.circuits = int(value)
+        figures = dict(report)
+        peer.circuits = int(figures.get(api.Load.GROUP_SIZE, peer.circuits))
 
     def tested(self, link: int, id_: int, passed: bool, report: Report, now: float) -> None:
         self.now = now
@@ -512,6 +554,7 @@
     def _restore(self, conn: int, offer: Offer, peer: Peer) -> Admission:
         self._calls_made += 1
         call = Call(offer.id, self._calls_made, conn, None, b"", offer.number, stands_at=peer)
+        call.linked_at = self.began  # it was set up before, by the process that ran here then
         self.calls[offer.id] = call
         peer.standing.add(offer.id)
         self.restored.add(call, conn)
@@ -608,12 +651,29 @@
                 )
             )
 
-    def _cut_standing(self, peer: Peer) -> None:
-        for id_ in sorted(peer.standing):
-            call = self.calls.get(id_)
-            if call is not None and call.stands_at is peer:
-                self._over(call, Cause.TEMPORARY_FAILURE, api.Outcome.CUT, ())
-        peer.standing.clear()
+    def _group_empty(self, peer: Peer, link: int) -> None:
+        """A call that stands holds a circuit: those of earlier links are over, if no release of theirs comes.
+
+        Calls on links that are up may have been set up since the state was told; of calls that were brought
+        back it is not known whether they are counted there.
+        """
+        here = peer.links[link]
+        if here.without_circuit:
+            return  # told before; such calls only become fewer
+        calls = (self.calls[id_] for id_ in peer.standing if id_ not in self.restored)
+        here.without_circuit = frozenset(call.id for call in calls if call.link not in peer.links)
+        if here.without_circuit:
+            self._at(self.now + EMPTY_GROUP_MS, _Due.EMPTY_GROUP, peer.number, link)
+
+    def _end_calls_without_circuit(self, switch: api.SwitchId, link: int) -> None:
+        peer = self.peers.get(switch)
+        if peer is not None and link in peer.links:
+            self._cut_standing(peer, peer.links[link].without_circuit)
+
+    def _cut_standing(self, peer: Peer, ids: Set[int] | None = None) -> None:
+        """End the calls that stand there, or those of `ids` among them."""
+        for id_ in sorted(peer.standing if ids is None else peer.standing & ids):
+            self._over(self.calls[id_], Cause.TEMPORARY_FAILURE, api.Outcome.CUT, ())
 
     def _detach(self, call: Call) -> None:
         attempt = call.out
--- a/dapplehinge/platform/table.py
+++ b/dapplehinge/platform/table.py
@@ -38,6 +38,8 @@
     last: api.Outcome | None = None
     engaged: bool = False
     stands_at: Peer | None = None
+    link: int = 0  # that its set-up went out on; 0: another proxy's
+    linked_at: float = -inf  # ms at which that came up
 
 
 @dataclass(slots=True)
@@ -48,11 +50,16 @@
     heard: float  # when something came on it last
     suspect: bool = False  # it says nothing though it should
     out: set[int] = field(default_factory=set)  # ids of the calls out on it
+    without_circuit: frozenset[int] = frozenset()  # ids of calls that stood as it told of an empty group
 
 
 @dataclass(slots=True)
 class Peer:
-    """A switch: its links, and what waits for one."""
+    """A switch: its links, and what waits for one.
+
+    Its id stays the same when its process starts again: which process a link leads to follows from when
+    the link came up.
+    """
 
     number: api.SwitchId
     id: str
@@ -66,6 +73,7 @@
     refused_since: float = inf
     wanting: dict[int, Call] = field(default_factory=dict)
     standing: set[int] = field(default_factory=set)
+    started_at: float = 0.0  # ms, of its process, as the list told last; 0: before all else
     circuits: int = 0  # of the group to it, as it told last; 0: not told yet
     releases: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MAX_KEPT_RELEASES))
 
--- a/dapplehinge/platform/telemetry.py
+++ b/dapplehinge/platform/telemetry.py
@@ -47,6 +47,7 @@
     NOT_READING = "not-reading"
     SILENT = "silent"  # another link to the switch works
     SWITCH_GONE = "switch-gone"
+    PROCESS_REPLACED = "process-replaced"  # the list told a later start, or another address
 
 
 class Shed(Enum):
