Platform: releases reach callers who changed their connection, and switches whose link closed

Callers who get refusals only have no such connection.

The test on sockets, played on the code before: gives up after 30 s.

The same cause elsewhere: naming calls (`at`) made a connection count as a caller's; it no longer does. A release written to a link to a switch that closed was lost; it goes on the next link, unless it was confirmed or a later attempt is there.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -34,7 +34,15 @@
 from dapplehinge.platform.reports import NOTES, OUTCOMES, Report
 from dapplehinge.platform.restored import RestoredCalls
 from dapplehinge.platform.settings import Facts, settings_from
-from dapplehinge.platform.table import MAX_KEPT_RELEASES, Attempt, Call, Link, Peer, UnclaimedRelease
+from dapplehinge.platform.table import (
+    MAX_KEPT_RELEASES,
+    MAX_UNCONFIRMED_RELEASES,
+    Attempt,
+    Call,
+    Link,
+    Peer,
+    UnclaimedRelease,
+)
 from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Shed, Step
 from dapplehinge.rules import Controller
 
@@ -71,6 +79,9 @@
 MIN_PRUNED_TIMERS = 2000
 """Below this many timers those of ended attempts stay until they fall due."""
 
+UNCONFIRMED_KEPT_MS = 8000.0
+"""For which a release that was written and not confirmed may be written again; confirming is free."""
+
 DOUBTFUL = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED)
 
 
@@ -297,9 +308,7 @@
         if peer.again:
             peer.again = False
             self._open_later(peer)
-        while peer.releases:
-            id_, cause = peer.releases.popleft()
-            self.actions.append(act.SendRelease(link, id_, cause))
+        self._send_kept_releases(peer, link)
         for call in list(peer.wanting.values()):
             self._send(call)
         self._run()
@@ -361,6 +370,8 @@
             return
         for id_ in sorted(gone.out):
             self._end_attempt(self.calls[id_], api.Outcome.CUT)
+        recent = self.now - UNCONFIRMED_KEPT_MS
+        peer.releases.extend((id_, cause) for id_, (cause, at) in gone.releases.items() if at >= recent)
 
     def _link(self, peer: Peer) -> int:
         """The link for what goes out now; 0 where none is up that can be trusted."""
@@ -418,10 +429,37 @@
         """To the link of its set-up, else any, else the next one that is made."""
         use = link if link in peer.links else self._link(peer) or max(peer.links, default=0)
         if use:
-            self.actions.append(act.SendRelease(use, id_, cause))
+            self._send_release(peer, use, id_, cause)
         else:
             peer.releases.append((id_, cause))
 
+    def _send_release(self, peer: Peer, link: int, id_: int, cause: int) -> None:
+        unconfirmed = peer.links[link].releases
+        unconfirmed[id_] = cause, self.now
+        if len(unconfirmed) > MAX_UNCONFIRMED_RELEASES:
+            del unconfirmed[next(iter(unconfirmed))]
+        self.actions.append(act.SendRelease(link, id_, cause))
+
+    def _send_kept_releases(self, peer: Peer, link: int) -> None:
+        """What could not be written, or not be seen to arrive; but not what would end a later attempt."""
+        while peer.releases:
+            id_, cause = peer.releases.popleft()
+            call = self.calls.get(id_)
+            if call is None or not self._is_at(call, peer):
+                self._send_release(peer, link, id_, cause)
+
+    @staticmethod
+    def _is_at(call: Call, peer: Peer) -> bool:
+        """It stands there, or its set-up has gone out there."""
+        attempt = call.out
+        out = attempt is not None and attempt.link != 0 and attempt.peer is peer
+        return out or call.stands_at is peer
+
+    def release_confirmed(self, link: int, id_: int) -> None:
+        peer = self.link_peer.get(link)
+        if peer is not None:
+            peer.links[link].releases.pop(id_, None)
+
     # What switches say
 
     def answered(self, link: int, id_: int, description: bytes, now: float) -> None:
@@ -431,7 +469,7 @@
             return
         if call is None or call.offer is None or call.out is None or call.out.link != link:
             if call is None or call.stands_at is not peer:  # it stands there and nobody wants it
-                self.actions.append(act.SendRelease(link, id_, Cause.NORMAL))
+                self._send_release(peer, link, id_, Cause.NORMAL)
             return
         attempt = call.out
         self._detach(call)
--- a/dapplehinge/platform/table.py
+++ b/dapplehinge/platform/table.py
@@ -10,6 +10,9 @@
 from dapplehinge.platform.offers import Offer
 from dapplehinge.platform.telemetry import History
 
+MAX_UNCONFIRMED_RELEASES = 256
+"""Releases written to a link that are written to the next one if it closes before they are confirmed."""
+
 MAX_KEPT_RELEASES = 4096
 """Releases kept for a switch to which no link is up."""
 
@@ -50,6 +53,7 @@
     heard: float  # when something came on it last
     suspect: bool = False  # it says nothing though it should
     out: set[int] = field(default_factory=set)  # ids of the calls out on it
+    releases: dict[int, tuple[int, float]] = field(default_factory=dict)  # unconfirmed: id -> cause, ms
     without_circuit: frozenset[int] = frozenset()  # ids of calls that stood as it told of an empty group
 
 
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -22,7 +22,8 @@
 
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
-from dapplehinge.platform.offers import OfferError, OfferReader, call_id_of
+from dapplehinge.platform.offers import ID, OfferError, OfferReader, call_id_of
+from dapplehinge.platform.releases import CallerReleases, Send, Trust
 from dapplehinge.platform.service import Admission, Service
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose
@@ -39,7 +40,6 @@
 FRESH_MS = 35.0  # a set-up that came this shortly before the end crosses it, for which 50 ms are allowed
 IDLE_TIMEOUT_MS = 2000.0
 FIRST_READ_PAUSE_S, MAX_READ_PAUSE_S = 0.02, 1.0  # without reading after nonsense, doubling
-RELEASE_KEPT_MS = 8000.0  # that a release is kept for a caller who has no connection
 
 log = logging.getLogger("dapplehinge.callers")
 
@@ -57,7 +57,6 @@
         "pending",
         "drained",
         "unreadable",
-        "byes",
     )
 
     def __init__(self, number: int, stream: IOStream, now: float) -> None:
@@ -72,11 +71,6 @@
         self.pending: asyncio.Future[bytes] | None = None  # the read that its task waits for
         self.drained = False  # no read is pending, and the stream holds nothing
         self.unreadable = False
-        self.byes: dict[str, act.ReleaseCaller] = {}  # sent, and not heard to be received
-
-    @property
-    def writable(self) -> bool:
-        return not self.finishing and not self.stream.closed()
 
     @property
     def settled(self) -> bool:
@@ -104,9 +98,8 @@
         self.last_set_up = 0.0  # ms at which the newest one was taken
         self._closing = asyncio.Event()  # connections end as soon as they carry nothing
         self.conns: dict[int, Caller] = {}
-        self.active: dict[int, Caller] = {}  # the one that was heard last comes last
         self.partial: dict[int, Caller] = {}  # nothing whole came yet, or a message is not whole
-        self.pending_releases: dict[int, tuple[act.ReleaseCaller, float]] = {}
+        self.releases = CallerReleases()
         self._numbers = 0
         self._listening: socket.socket | None = None
 
@@ -165,6 +158,7 @@
         self._numbers += 1
         caller = Caller(self._numbers, bounded(sock, MAX_UNREAD_BYTES), self.clock())
         self.conns[caller.number] = self.partial[caller.number] = caller
+        self.releases.connected(caller.number)
         asyncio.ensure_future(self._serve(caller))
 
     def _make_room(self) -> bool:
@@ -199,11 +193,9 @@
         if self.conns.pop(caller.number, None) is None:
             return
         self.service.metrics.caller_closes[why] += 1
-        self.active.pop(caller.number, None)
         self.partial.pop(caller.number, None)
         self.service.caller_lost(caller.number, self.clock())
-        for action in caller.byes.values():
-            self.release(action)
+        self._send_releases(self.releases.ended(caller.number))
         self.pump()
 
     def sweep(self, now: float) -> None:
@@ -213,9 +205,7 @@
                 if caller.reader.amid:
                     self._write(caller, sip.response(408, b""))
                 self._close(caller, CallerClose.SILENT)
-        for id_, (_, since) in list(self.pending_releases.items()):
-            if now - since >= RELEASE_KEPT_MS:
-                del self.pending_releases[id_]
+        self._send_releases(self.releases.tick(now))
 
     async def _serve(self, caller: Caller) -> None:
         why = CallerClose.BY_CALLER
@@ -312,6 +302,7 @@
         if new or not self._take_unread(caller) or caller.reader.amid or not self._idle(caller):
             return
         caller.finishing, caller.since = True, self.clock()
+        self.releases.finishing(caller.number)
         with contextlib.suppress(OSError):
             caller.stream.socket.shutdown(socket.SHUT_WR)
 
@@ -352,8 +343,8 @@
     def _take(self, caller: Caller, message: sip.Message, now: float) -> bool:
         """False: it made no sense."""
         if message.status:
-            if message.method == "BYE":
-                caller.byes.pop(message.call_id, None)
+            if message.method == "BYE" and ID.match(message.call_id):
+                self.releases.received(int(message.call_id, 16))
             return True
         match message.method:
             case "INVITE":
@@ -381,19 +372,9 @@
         if admission is not Admission.TAKEN:
             return False
         self.last_set_up = now
-        if offer.standing_at:
-            self._mark_active(caller)
+        self._send_releases(self.releases.trusted(caller.number, Trust.OFFERED))
         return True
 
-    def _mark_active(self, caller: Caller) -> None:
-        """A call stands that came on it, so that it is a caller who can be told of releases."""
-        self.active.pop(caller.number, None)
-        self.active[caller.number] = caller
-        if self.pending_releases:
-            owed, self.pending_releases = self.pending_releases, {}
-            for action, _ in owed.values():
-                self.release(action)
-
     def _end(self, caller: Caller, message: sip.Message, now: float) -> bool:
         try:
             id_ = call_id_of(message)
@@ -415,20 +396,19 @@
             gap = b"P-Gap-Ms: %d\r\n" % action.gap if action.gap >= 1 else b""
             self._write(caller, sip.response(action.status, action.echo, gap, action.body))
             if action.status == 200:
-                self._mark_active(caller)
+                self._send_releases(self.releases.trusted(caller.number, Trust.ANSWERED))
 
     def release(self, action: act.ReleaseCaller) -> None:
-        caller = self.conns.get(action.conn)
-        if caller is None or not caller.writable:
-            caller = next((each for each in reversed(self.active.values()) if each.writable), None)
-        if caller is None:
-            self.pending_releases[action.id] = (action, self.clock())
-            return
-        call_id = f"{action.id:016x}"
-        if self._write(caller, sip.bye(call_id, action.number, action.cause, self.own)):
-            caller.byes[call_id] = action
-            if len(caller.byes) > 1000:  # a caller that never says so
-                del caller.byes[next(iter(caller.byes))]
+        self._send_releases(self.releases.add(action, self.clock()))
+
+    def _send_releases(self, sends: list[Send]) -> None:
+        """A connection that can't be written to is closed in a moment; its releases are sent again then."""
+        for send in sends:
+            caller = self.conns.get(send.connection)
+            if caller is not None and not caller.stream.closed():
+                release = send.release
+                bye = sip.bye(f"{release.id:016x}", release.number, release.cause, self.own)
+                self._write(caller, bye)
 
 
 def nothing_unread(stream: IOStream) -> bool:
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -128,5 +128,7 @@
             case Type.UPA:
                 report = report_from(message.text(Code.REPORT))
                 service.tested(link, message.call, message.cause == 1, report, now)
+            case Type.RLC:
+                service.release_confirmed(link, message.call)
             case _:
-                pass  # progress and release complete mean nothing here
+                pass  # progress means nothing here
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -4,8 +4,10 @@
 import socket
 
 from dapplehinge.platform.actions import ReleaseCaller, Respond
+from dapplehinge.platform.releases import Trust
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.proxy.platform.callers import ACCEPT_PAUSE_S, Callers
+from dapplehinge.sip.codec import response
 from tests.platform_kit import Rig, of, said
 from tests.test_platform_live import PATIENCE
 
@@ -82,22 +84,35 @@
     played(scenario)
 
 
-def test_a_release_goes_to_a_connection_on_which_a_call_stood():
+def used(callers, trust):
+    return callers.releases._by_trust[trust]
+
+
+def test_a_release_reaches_callers_who_closed_a_resting_connection_and_use_another():
     async def scenario(rig, callers, addr):
         first, writer = await asyncio.open_connection(*addr)
         writer.write(said(0x11, "at:s-1"))
-        await until(lambda: callers.active)
+        await until(lambda: 0x11 in rig.service.calls)
         stranger, other = await asyncio.open_connection(*addr)
-        other.write(said(0x12))
-        await until(lambda: rig.service.in_flight)
+        other.write(said(0x12, "dest:x"))  # makes no sense
+        await until(lambda: len(callers.conns) == 2 and not callers.conns[2].reader.amid)
         writer.close()
-        await until(lambda: not callers.active)
+        await until(lambda: len(callers.conns) == 1)
         [bye] = of(rig.released(0x11), ReleaseCaller)
         callers.release(bye)
-        assert 0x11 in callers.pending_releases  # nobody who is known to be a caller is there
+        assert not used(callers, Trust.OFFERED) and len(callers.releases) == 1  # nobody is there who calls
         again, third = await asyncio.open_connection(*addr)
-        third.write(said(0x13, "at:s-1"))
-        assert b"BYE sip:" in await again.read(1000) and not callers.pending_releases
+        third.write(said(0x13))
+        assert b"BYE sip:" in await again.read(1000)
+        callers.conns[3].stream.close()  # it may not have been read
+        last, fourth = await asyncio.open_connection(*addr)
+        fourth.write(said(0x14))
+        assert b"BYE sip:" in await last.read(1000)
+        fourth.write(response(200, b"Call-ID: %016x\r\nCSeq: 2 BYE\r\n" % 0x11))
+        await until(lambda: not len(callers.releases))
+        assert b"BYE sip:" not in await stranger.read(1000)
+        for each in (other, third, fourth):
+            each.close()
 
     played(scenario)
 
@@ -218,15 +233,17 @@
     async def scenario(rig, callers, addr):
         ended, first = await asyncio.open_connection(*addr)
         first.write(said(0x11, "at:s-1"))
-        await until(lambda: callers.active)
+        await until(lambda: used(callers, Trust.OFFERED))
+        rig.now += CROSSING_MS
+        callers.finish_idle()
         [caller] = callers.conns.values()
-        caller.finishing = True
+        assert caller.finishing
         other, second = await asyncio.open_connection(*addr)
         second.write(said(0x12, "at:s-1"))
-        await until(lambda: len(callers.active) == 2)
+        await until(lambda: used(callers, Trust.OFFERED))
         [bye] = of(rig.released(0x11), ReleaseCaller)
         callers.release(bye)
-        assert b"BYE sip:" in await other.read(1000)
+        assert b"BYE sip:" in await other.read(1000) and await ended.read() == b""
         first.close()
         second.close()
 
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -11,6 +11,7 @@
 from dapplehinge.platform.reports import NOTES, OUTCOMES, ReportError, report_from
 from dapplehinge.platform.service import RELEASE_KEPT_MS
 from dapplehinge.platform.settings import Facts, settings_from
+from dapplehinge.platform.table import Attempt
 from tests.platform_kit import SETTINGS, Rig, event, invite, of, row, told
 
 
@@ -284,6 +285,43 @@
     assert of(rig.taken(), act.SendRelease) == [act.SendRelease(link, 0x11, 16)]
 
 
+def relink(rig, place=1):
+    peer = rig.peer(place)
+    rig.service.link_lost(rig.link(place), rig.now)
+    rig.wait(500)
+    rig.service.link_up(peer.opening, rig.now)
+    return rig.link(place), of(rig.taken(), act.SendRelease)
+
+
+def test_a_release_written_to_a_link_that_closes_is_not_lost_on_its_way_to_the_switch(rig):
+    for call in (0x11, 0x12):
+        standing(rig, call)
+        rig.service.caller_released(1, call, 16, rig.now)
+    rig.service.release_confirmed(rig.link(1), 0x11)
+    rig.taken()
+    link, seen = relink(rig)
+    assert seen == [act.SendRelease(link, 0x12, 16)]
+    rig.service.release_confirmed(link, 0x12)
+    assert relink(rig)[1] == []
+
+
+def test_a_release_that_is_written_again_does_not_end_a_later_attempt_of_its_call(rig):
+    rig.offer()
+    [call] = rig.service.in_flight.values()
+    old = rig.link(1)
+    rig.wait(2000)
+    peer = rig.peer(1)
+    rig.service.link_up(peer.opening, rig.now)
+    second = max(peer.links)
+    rig.service._end_attempt(call, api.Outcome.CANCELLED)  # its release goes out on the first link
+    rig.wait(500)
+    call.out = Attempt(1, peer, rig.now, rig.now + 1000, link=second)
+    rig.taken()
+    rig.service.link_lost(old, rig.now)
+    rig.service.link_up(peer.opening, rig.now)
+    assert not of(rig.taken(), act.SendRelease)
+
+
 def test_calls_at_a_switch_without_a_process_are_over_after_a_second(rig):
     standing(rig)
     rig.service.link_lost(rig.link(1), rig.now)
