Rules: as many calls wait for a destination as its group has circuits

Cause: all calls that wait for a destination are looked at whenever a circuit frees or an attempt ends (`Controller.wake`), and each look entered one more time in the agenda. With thousands waiting one event cost thousands of looks.

Evidence: the pressure trial, reproduced before anything was changed (23 kinds of bad clients, 32 MB with 256 descriptors and 192 MB with 1,024): broken for set-ups that make sense, all other kinds on one connection within 0.2 s. A sampling profile: 642 of 799 samples below `wake`. Event loop of the stand-ins late by 9 ms at most. Both unit tests and the trial with real processes fail on the code before.

Change: a waiting call needs a place: as many as the group has circuits, 64 at the least; the worthier call takes the place of the least worthy, the rest is refused at once. One look is entered for a waiting call.

--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -66,8 +66,9 @@
 ENGAGED_REST_MOST = 4000.0  # ms: longest rest, well below the length of a call that frees a line
 LITTLE_WORTH = 0.5  # share of the mean worth: below it a call gets no last circuit and no tandem
 MOST_DOUBLINGS = 2  # a shut rung's rest grows to 4 C, well within the target: it must see the end of trouble
+MIN_WAITING_PLACES = 64  # for calls that wait for a route to one destination; more if its group is larger
 MAX_ENGAGED_NUMBERS = 4096  # remembered; callers may dial ever new ones
-MAX_STALE_LOOKS = 1000  # entries of the agenda beyond twice the calls, whose calls have ended
+MIN_PRUNED_LOOKS = 1000  # entries of the agenda below which those of ended calls stay until they are due
 WORTH_CALLS = 50  # calls over which the mean worth is learnt: some seconds of one proxy's traffic
 MOST_FAVOUR = 2.0  # most that a call's worth may raise its spill share: p must still bound the feed
 TENANT_FORGET = 0.01  # weight of the newest call in the tenants' shares: about a hundred calls count
@@ -162,6 +163,7 @@
     rung: Rung | None = None  # and the rung it took
     sent: float = 0.0
     not_before: float = 0.0  # release awaited until then
+    next_look: float = inf  # the earliest look at it that is entered, while it waits
     avoid: set[SwitchId] = field(default_factory=set)  # tandems that turned this call back
     may_have_run: tuple[SwitchEntry, float] | None = None  # first attempt that may have run
 
@@ -186,6 +188,7 @@
         self.offers = self.offers_span = 0.0  # own calls and the time they came in, forgotten alike
         self.offered_at = 0.0
         self.agenda: list[tuple[float, int]] = []  # heap of when to look at which call again
+        self.prune_above = MIN_PRUNED_LOOKS
         self.timer_at = inf  # when the newest timer falls due; older ones are ignored
         self.timer_tag = LIST_TAG
         self.opens = inf  # when time alone may change the answer that choose() gave
@@ -369,6 +372,7 @@
             call = self.calls.get(heappop(self.agenda)[1])
             if call is None:
                 continue
+            call.next_look = inf
             if call.rung is None:
                 self.advance(call)
             elif self.now >= call.due:
@@ -429,7 +433,7 @@
             if call.not_before >= call.due:
                 self.refuse(call)
             else:
-                self.look_again(call, call.not_before)
+                self.look_again_waiting(call, call.not_before)
             return
         switch_id = self.choose(call)
         if switch_id is not None:
@@ -441,9 +445,27 @@
             or self.now >= (patience := self.wait_until(call))
         ):
             self.refuse(call)
+        elif self.take_waiting_place(call):
+            self.look_again_waiting(call, min(patience, self.opens + self.settings.round_span))
         else:
-            self.waiting.setdefault(offer.destination, {})[offer.call] = call
-            self.look_again(call, min(patience, self.opens + self.settings.round_span))
+            self.refuse(call)
+
+    def take_waiting_place(self, call: Call) -> bool:
+        """False: as many wait for a route to its destination already, and none is worth less.
+
+        Guards against more calls than can ever get a circuit while they wait: each of them is looked at
+        whenever one frees. It may hurt where calls end so fast that a circuit serves several waiting ones.
+        """
+        queue = self.waiting.setdefault(call.offer.destination, {})
+        switch = self.switches.get(self.target.get(call.offer.destination, 0))
+        places = max(MIN_WAITING_PLACES, switch.size if switch else 0)
+        if call.offer.call not in queue and len(queue) >= places:
+            least = min(queue.values(), key=lambda c: (c.worth, -c.arrived, -c.offer.call))
+            if call.worth <= least.worth:
+                return False
+            self.refuse(least)
+        self.waiting.setdefault(call.offer.destination, {})[call.offer.call] = call
+        return True
 
     def wait_until(self, call: Call) -> float:
         """Until when a call waits at home: longer for a circuit than for a processor, which may stay slow."""
@@ -738,9 +760,16 @@
 
     def look_again(self, call: Call, when: float) -> None:
         heappush(self.agenda, (when, call.offer.call))
-        if len(self.agenda) > 2 * len(self.calls) + MAX_STALE_LOOKS:
+        if len(self.agenda) > self.prune_above:
             self.agenda = [entry for entry in self.agenda if entry[1] in self.calls]
             heapify(self.agenda)
+            self.prune_above = max(MIN_PRUNED_LOOKS, 2 * len(self.agenda))
+
+    def look_again_waiting(self, call: Call, when: float) -> None:
+        """The same for a call without an attempt out: the earliest look brings the next one."""
+        if when < call.next_look:
+            call.next_look = when
+            self.look_again(call, when)
 
     def set_timer(self) -> None:
         """One timer for the earliest look at a call that is still here; a new one only if that is earlier."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -47,6 +47,7 @@
     busy_neighbours: int  # processes on the node's core
     max_attempts: int
     cancel: bool
+    memory_mb: int = 192
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -295,7 +295,7 @@
             "name": "n0",
             "listen": f"{self.address[0]}:{self.address[1]}",
             "seed": f"{self.random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": deployment.sockets},
+            "limits": {"cores": 1.0, "memory_mb": deployment.memory_mb, "sockets": deployment.sockets},
             "feed": f"127.0.0.1:{self.discovery.current.port}",
             "known": self.discovery.known,
             "settings": {
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -6,7 +6,7 @@
 from dapplehinge.platform.restored import CALLS_PER_CIRCUIT, MAX_RESTORED_CALLS
 from dapplehinge.platform.service import Admission
 from dapplehinge.platform.telemetry import Shed
-from dapplehinge.rules import MAX_ENGAGED_NUMBERS
+from dapplehinge.rules import MAX_ENGAGED_NUMBERS, MIN_PRUNED_LOOKS, MIN_WAITING_PLACES
 from tests.conftest import Proxy
 from tests.platform_kit import Rig, invite, of
 
@@ -87,3 +87,37 @@
         rig.taken()
         rig.wait(0.5)
     assert len(rig.service._agenda.things()) < 3000 and len(rig.service.controller.agenda) < 3000
+
+
+def without_circuits():
+    proxy = Proxy()
+    for place in range(4):
+        proxy.free(place, 0)
+    return proxy
+
+
+def test_set_ups_at_full_speed_to_a_full_group_do_not_wait_in_ever_longer_queues():
+    proxy = without_circuits()
+    refused = []
+    for _ in range(2000):
+        refused += proxy.offer(1)
+        proxy.now += 0.2
+    controller = proxy.controller
+    assert len(controller.waiting[1]) == len(controller.calls) == MIN_WAITING_PLACES
+    assert sum(isinstance(action, api.Refuse) for action in refused) == 2000 - MIN_WAITING_PLACES
+    for free in [1, 0] * 200:  # each wakes all that wait
+        proxy.free(2, free)
+        proxy.free(1, 0)
+        proxy.now += 0.2
+    assert len(controller.agenda) <= MIN_PRUNED_LOOKS
+    answers = proxy.wait(3000)
+    assert not controller.calls and not controller.waiting and answers
+
+
+def test_a_worthier_call_takes_the_place_of_one_that_waits():
+    proxy = without_circuits()
+    for _ in range(2 * MIN_WAITING_PLACES):
+        proxy.offer(1)
+    [refusal] = [a for a in proxy.offer(1, call_class=1) if isinstance(a, api.Refuse)]
+    assert refusal.call == MIN_WAITING_PLACES  # the newest of those that waited
+    assert proxy.calls in proxy.controller.waiting[1]
--- /dev/null
+++ b/tests/test_pressure.py
@@ -0,0 +1,20 @@
+"""Bad clients at full strength beside usual callers; `python -m tests.pressure` plays all kinds."""
+
+import pytest
+
+from tests.pressure.clients import Kind
+from tests.pressure.trial import SMALLEST, run_trial
+
+SPAN_S = 4.0
+
+
+def expect_sound(kind, limits):
+    result = run_trial(kind, limits, SPAN_S)
+    if faults := result.faults():
+        log = "\n".join(result.log[-20:])
+        pytest.fail(f"{result.summary()}\n{faults}\n{log}", pytrace=False)
+
+
+@pytest.mark.parametrize("kind", [Kind.STANDING, Kind.AT_KNOWN, Kind.WITHDRAWN, Kind.UNKNOWN_EXCHANGES])
+def test_one_client_at_full_speed_does_not_keep_others_from_their_answers(kind):
+    expect_sound(kind, SMALLEST)
