Platform: what callers make the process hold is bounded by its memory limit

Cause: bytes of callers had bounds for each connection and none together; what was read last was held twice; all fields of a head were kept; the error of a connection that ended held the connection and the stack that had met it, so that hundreds that ended together took 6 MB more.

Change: `platform/memory.py` and its use in the service (open set-ups: the oldest gives way) and at the callers (largest message that is not whole); fields that are not read are not kept; 2 KiB a read; connections with more to be read share one turn of the loop (`proxy/platform/turns.py`); errors of streams are freed; set-ups open on a connection that is turned away are answered, and its end is told before it is closed.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -30,6 +30,7 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.descriptors import MAX_LINKS
 from dapplehinge.platform.members import Change, Member
+from dapplehinge.platform.memory import OPEN_SET_UP_BYTES
 from dapplehinge.platform.offers import Offer, dialled
 from dapplehinge.platform.reports import NOTES, OUTCOMES, Report
 from dapplehinge.platform.restored import RestoredCalls
@@ -115,6 +116,8 @@
         self.interlock = Interlock(settings.guard, 0.0, GUARD_MARGIN_MS)
         self.calls: dict[int, Call] = {}  # by id, trying and standing
         self.in_flight: dict[int, Call] = {}  # by the module's number
+        self.open_bytes = 0  # held for the calls in flight
+        self.max_open_bytes: float = inf
         self.conns: dict[int, set[int]] = {}  # connection -> ids of the calls trying on it
         self.peers: dict[api.SwitchId, Peer] = {}
         self.by_id: dict[str, Peer] = {}
@@ -197,10 +200,20 @@
         """Give the final answer to each set-up that still lacks one: refused if nothing was ever sent."""
         self.now = now
         for call in list(self.in_flight.values()):
-            self._gone(call)
-            self._respond(call, 504 if call.attempts else 503)
+            self._end_unanswered(call)
         self._run()
 
+    def answer_connection(self, conn: int, now: float) -> None:
+        """The same for the set-ups that are open on a connection which will be closed."""
+        self.now = now
+        for id_ in sorted(self.conns.get(conn, ())):
+            self._end_unanswered(self.calls[id_])
+        self._run()
+
+    def _end_unanswered(self, call: Call) -> None:
+        self._gone(call)
+        self._respond(call, 504 if call.attempts else 503)
+
     def _record(self, call: Call, step: Step, detail: str = "") -> None:
         if call.history is not None:
             call.history.add(self.now, step, detail)
@@ -473,8 +486,7 @@
             return
         attempt = call.out
         self._detach(call)
-        del self.in_flight[call.number]
-        self._off_conn(call)
+        self._leave_flight(call)
         call.offer, call.stands_at = None, peer
         call.link, call.linked_at = link, peer.links[link].since
         peer.standing.add(id_)
@@ -551,6 +563,7 @@
         call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number, History(self.now))
         self.metrics.offered += 1
         self.calls[offer.id] = self.in_flight[call.number] = call
+        self.open_bytes += held_bytes(call)
         self.conns.setdefault(conn, set()).add(offer.id)
         self._events.append(
             api.CallOffered(
@@ -568,8 +581,16 @@
             )
         )
         self._run()
+        self._bound_open_set_ups()
         return Admission.TAKEN
 
+    def _bound_open_set_ups(self) -> None:
+        """The one that has waited longest gives way: most answers come long before the end of their time."""
+        while self.open_bytes > self.max_open_bytes and self.in_flight:
+            self.metrics.shed[Shed.OPEN_SET_UP] += 1
+            self._end_unanswered(next(iter(self.in_flight.values())))
+            self._run()
+
     def _stands_already(self, conn: int, offer: Offer, known: Call | None) -> Admission:
         peer = self.by_id.get(offer.standing_at)
         if known is not None:
@@ -657,11 +678,12 @@
         self._detach(call)
         if attempt is not None and attempt.link in attempt.peer.links:
             self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
-        self.in_flight.pop(call.number, None)
         self.calls.pop(call.id, None)
-        self._off_conn(call)
+        self._leave_flight(call)
 
-    def _off_conn(self, call: Call) -> None:
+    def _leave_flight(self, call: Call) -> None:
+        if self.in_flight.pop(call.number, None) is not None:
+            self.open_bytes -= held_bytes(call)
         ids = self.conns.get(call.conn)
         if ids is not None:
             ids.discard(call.id)
@@ -858,3 +880,9 @@
         self.tests[self._tests_made] = (peer, self.now)
         self._at(self.now + self.connect_within, _Due.TEST, self._tests_made)
         self.actions.append(act.SendTest(link, self._tests_made))
+
+
+def held_bytes(call: Call) -> int:
+    """Bytes held for a call while it has no answer."""
+    description = call.offer.description if call.offer is not None else b""
+    return OPEN_SET_UP_BYTES + len(description) + len(call.echo)
--- a/dapplehinge/platform/telemetry.py
+++ b/dapplehinge/platform/telemetry.py
@@ -34,6 +34,7 @@
     FAULT = "fault"  # of the program
     MAKES_ROOM = "makes-room"
     NOT_READING = "not-reading"
+    MEMORY = "memory"  # the largest message that was not whole: all together held too many bytes
     SHUTDOWN = "shutdown"
 
 
@@ -53,6 +54,7 @@
 class Shed(Enum):
     """What was given up or refused since a bound was reached."""
 
+    OPEN_SET_UP = "open-set-up"  # the oldest without an answer: all together hold too many bytes
     RESTORED_CALL = "restored-call"  # more calls were named at a switch than it can hold
 
 
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -14,6 +14,7 @@
 import logging
 import socket
 from collections.abc import Callable
+from enum import Enum, auto
 from itertools import islice
 from typing import Any
 
@@ -22,20 +23,23 @@
 
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
+from dapplehinge.platform.memory import MemoryBudget
 from dapplehinge.platform.offers import ID, OfferError, OfferReader, call_id_of
 from dapplehinge.platform.releases import CallerReleases, Send, Trust
 from dapplehinge.platform.service import Admission, Service
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose
-from dapplehinge.proxy.platform.streams import CHUNK, bounded
+from dapplehinge.proxy.platform.streams import bounded, free_error
+from dapplehinge.proxy.platform.turns import Turns
 from dapplehinge.sip import codec as sip
 
+DEFAULT_MEMORY_BYTES = 192_000_000
 MAX_UNREAD_BYTES = 64 * 1024
 MAX_LOOKS = 64  # connections looked at for room at one go
 ACCEPT_BATCH = 32  # connections accepted at one go
 ACCEPT_PAUSE_S = 0.05  # without accepting when descriptors are short
 CLOSE_GRACE_MS = 100.0  # that a caller gets to close his end
-LAST_CHUNK_BYTES = 2 * 1024  # bytes read at one go as a connection ends: taken in a few ms, see FRESH_MS
+CHUNK_BYTES = 2 * 1024  # read at one go: taken in a few ms, so that hundreds get their turns in time
 MAX_LAST_READS = 4  # at one go, so that others get their turn
 FRESH_MS = 35.0  # a set-up that came this shortly before the end crosses it, for which 50 ms are allowed
 IDLE_TIMEOUT_MS = 2000.0
@@ -44,6 +48,14 @@
 log = logging.getLogger("dapplehinge.callers")
 
 
+class Came(Enum):
+    """What a chunk that was read brought."""
+
+    NONSENSE = auto()  # something that makes no sense
+    PART = auto()  # of a message
+    MESSAGES = auto()
+
+
 class Caller:
     __slots__ = (
         "number",
@@ -57,6 +69,8 @@
         "pending",
         "drained",
         "unreadable",
+        "held_bytes",
+        "why",
     )
 
     def __init__(self, number: int, stream: IOStream, now: float) -> None:
@@ -71,6 +85,8 @@
         self.pending: asyncio.Future[bytes] | None = None  # the read that its task waits for
         self.drained = False  # no read is pending, and the stream holds nothing
         self.unreadable = False
+        self.why = CallerClose.BY_CALLER  # it is closed, once it is
+        self.held_bytes = 0  # of the message that is not whole
 
     @property
     def settled(self) -> bool:
@@ -87,6 +103,7 @@
         clock: Callable[[], float],
         pump: Callable[[], None],
         most: Callable[[], int],
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.service = service
         self.offers = offers
@@ -94,12 +111,16 @@
         self.clock = clock
         self.pump = pump
         self.most = most
+        self.memory = memory or MemoryBudget(DEFAULT_MEMORY_BYTES)
+        service.max_open_bytes = self.memory.open_set_ups
+        self.partial_bytes = 0  # of messages that are not whole, all connections together
         self.ready: Callable[[], bool] = lambda: True
         self.last_set_up = 0.0  # ms at which the newest one was taken
         self._closing = asyncio.Event()  # connections end as soon as they carry nothing
         self.conns: dict[int, Caller] = {}
         self.partial: dict[int, Caller] = {}  # nothing whole came yet, or a message is not whole
         self.releases = CallerReleases()
+        self._turns = Turns()
         self._numbers = 0
         self._listening: socket.socket | None = None
 
@@ -156,7 +177,8 @@
 
     def _accept(self, sock: socket.socket) -> None:
         self._numbers += 1
-        caller = Caller(self._numbers, bounded(sock, MAX_UNREAD_BYTES), self.clock())
+        stream = bounded(sock, MAX_UNREAD_BYTES, self.memory.unsent(self.most()), CHUNK_BYTES)
+        caller = Caller(self._numbers, stream, self.clock())
         self.conns[caller.number] = self.partial[caller.number] = caller
         self.releases.connected(caller.number)
         asyncio.ensure_future(self._serve(caller))
@@ -192,6 +214,8 @@
         caller.stream.close()
         if self.conns.pop(caller.number, None) is None:
             return
+        self._count_partial(caller, 0)
+        caller.reader.close()
         self.service.metrics.caller_closes[why] += 1
         self.partial.pop(caller.number, None)
         self.service.caller_lost(caller.number, self.clock())
@@ -201,53 +225,60 @@
     def sweep(self, now: float) -> None:
         """Close what was silent for too long; to be called a few times a second."""
         for caller in list(self.partial.values()):
-            if now - caller.since >= IDLE_TIMEOUT_MS:
+            if now - caller.since >= IDLE_TIMEOUT_MS and caller.number not in self.service.conns:
                 if caller.reader.amid:
                     self._write(caller, sip.response(408, b""))
                 self._close(caller, CallerClose.SILENT)
+        for caller in list(self.conns.values()):
+            if caller.finishing and now - caller.since >= CLOSE_GRACE_MS:
+                self._close(caller, caller.why)
         self._send_releases(self.releases.tick(now))
 
     async def _serve(self, caller: Caller) -> None:
-        why = CallerClose.BY_CALLER
         try:
             while True:
                 caller.drained = False
-                caller.pending = asyncio.ensure_future(caller.stream.read_bytes(CHUNK, partial=True))
+                caller.pending = asyncio.ensure_future(caller.stream.read_bytes(CHUNK_BYTES, partial=True))
                 data = await caller.pending
-                caller.pending = None
+                caller.pending = None  # it holds the data, too
                 if caller.number not in self.conns:
                     return  # closed, with something left to read
                 if caller.finishing:
+                    await self._turns.wait()
                     continue
-                sense = self._on_data(caller, data)
-                if caller.unreadable:
-                    why = CallerClose.UNREADABLE
-                    break
+                came, size = self._on_data(caller, data), len(data)
+                del data  # it is held no longer than it takes to read it
+                if caller.number not in self.conns:
+                    return  # it was turned away
                 if self._closing.is_set():
-                    caller.drained = len(data) < CHUNK
+                    caller.drained = size < CHUNK_BYTES
                     self._finish(caller)
-                elif not sense:
+                elif came is Came.NONSENSE:
                     await self._pause(caller)
-                elif len(data) == CHUNK:
-                    await asyncio.sleep(0)  # others get their turn
+                elif size == CHUNK_BYTES and came is Came.PART:
+                    await asyncio.sleep(0)
+                elif size == CHUNK_BYTES:
+                    await self._turns.wait()
         except (StreamClosedError, OSError):
             pass
         except Exception:
-            why = CallerClose.FAULT
+            caller.why = CallerClose.FAULT
             log.exception("callers.fault connection=%d", caller.number)
-        self._close(caller, why)
+        caller.pending = None  # its error refers to this connection, which would keep both from being freed
+        free_error(caller.stream)
+        self._close(caller, caller.why)
 
-    def _on_data(self, caller: Caller, data: bytes) -> bool:
-        """Take the messages that are whole now. False: some made no sense."""
+    def _on_data(self, caller: Caller, data: bytes) -> Came:
+        """Take the messages that are whole now."""
         messages, fault = caller.reader.feed(data)
         now = self.clock()
         sense = True
         for message in messages:
             sense &= self._take(caller, message, now)
         if fault is not None:
-            self._write(caller, sip.response(fault.status, b""))
             caller.unreadable = True
-            return False
+            self._turn_away(caller, CallerClose.UNREADABLE, fault.status)
+            return Came.NONSENSE
         if messages:
             caller.heard = True
             caller.since = now
@@ -258,8 +289,40 @@
                 self.partial[caller.number] = caller
         elif caller.heard:
             self.partial.pop(caller.number, None)
+        self._count_partial(caller, caller.reader.held_bytes)
         self.pump()
-        return sense
+        self._bound_partial_messages()
+        if not sense:
+            return Came.NONSENSE
+        return Came.MESSAGES if messages else Came.PART
+
+    def _count_partial(self, caller: Caller, held: int) -> None:
+        self.partial_bytes += held - caller.held_bytes
+        caller.held_bytes = held
+
+    def _bound_partial_messages(self) -> None:
+        """Close the connection with the largest message that is not whole, as often as it takes."""
+        while self.partial_bytes > self.memory.partial_messages:
+            largest = max(self.partial.values(), key=lambda each: each.held_bytes)
+            self._turn_away(largest, CallerClose.MEMORY, 503)
+
+    def _turn_away(self, caller: Caller, why: CallerClose, status: int) -> None:
+        """Answer what is open on a connection, refuse the message that came, and end it.
+
+        The end is told first: closing with something unread would reset it, and what was written on it last
+        would be lost.
+        """
+        self.service.answer_connection(caller.number, self.clock())
+        self.pump()
+        self._write(caller, sip.response(status, b""))
+        if caller.stream.closed() or caller.stream.writing():
+            self._close(caller, why)
+            return
+        caller.why = why
+        caller.reader.close()
+        self._count_partial(caller, 0)
+        self.partial.pop(caller.number, None)
+        self._tell_end(caller)
 
     async def _pause(self, caller: Caller) -> None:
         """Read nothing for a while; what the stream takes in meanwhile can't be seen."""
@@ -276,6 +339,7 @@
             return False
         except StreamClosedError:
             return False
+        free_error(caller.stream)
         return True
 
     def finish_idle(self) -> bool:
@@ -285,7 +349,7 @@
         for caller in list(self.conns.values()):
             if caller.finishing:
                 if now - caller.since >= CLOSE_GRACE_MS:
-                    self._close(caller, CallerClose.SHUTDOWN)
+                    self._close(caller, caller.why)
             elif caller.stream.closed():
                 self._close(caller, CallerClose.BY_CALLER)
             else:
@@ -301,6 +365,10 @@
         new = self.clock() - caller.opened < CROSSING_MS
         if new or not self._take_unread(caller) or caller.reader.amid or not self._idle(caller):
             return
+        caller.why = CallerClose.SHUTDOWN
+        self._tell_end(caller)
+
+    def _tell_end(self, caller: Caller) -> None:
         caller.finishing, caller.since = True, self.clock()
         self.releases.finishing(caller.number)
         with contextlib.suppress(OSError):
@@ -326,11 +394,11 @@
                 if caller.stream.closed() or caller.unreadable:
                     return False
                 asked = self.clock()
-                data = caller.stream.socket.recv(LAST_CHUNK_BYTES)
+                data = caller.stream.socket.recv(CHUNK_BYTES)
                 if not data:
                     return False  # its task sees the end, too
                 self._on_data(caller, data)
-                if len(data) < LAST_CHUNK_BYTES and self.clock() - asked < FRESH_MS:
+                if len(data) < CHUNK_BYTES and self.clock() - asked < FRESH_MS:
                     return True
         except BlockingIOError:
             return True
--- a/dapplehinge/proxy/platform/config.py
+++ b/dapplehinge/proxy/platform/config.py
@@ -12,6 +12,7 @@
 from dapplehinge.platform.settings import Facts
 
 LEAST_SOCKETS = 64
+DEFAULT_MEMORY_MB = 192
 
 
 class ConfigError(Exception):
@@ -24,6 +25,7 @@
     listen: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: float
     feed: tuple[str, int]
     known: Any
     facts: Facts
@@ -52,6 +54,9 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 1024
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < LEAST_SOCKETS:
         raise ConfigError(f"{file}: limits.sockets: {sockets!r}, {LEAST_SOCKETS} are needed")
+    memory_mb = limits.get("memory_mb", DEFAULT_MEMORY_MB) if isinstance(limits, dict) else DEFAULT_MEMORY_MB
+    if not isinstance(memory_mb, int | float) or isinstance(memory_mb, bool) or not memory_mb > 0:
+        raise ConfigError(f"{file}: limits.memory_mb: {memory_mb!r} is no size")
     seed = data.get("seed", "0")
     try:
         number = int(seed, 16) if isinstance(seed, str) else int(seed)
@@ -62,6 +67,7 @@
         listen=_address(file, "listen", env.get("BALANCER_LISTEN") or data.get("listen")),
         seed=number,
         sockets=sockets,
+        memory_mb=float(memory_mb),
         feed=_address(file, "feed", data.get("feed")),
         known=data.get("known", {"n": 0, "events": []}),
         facts=Facts.from_object(data["settings"]),
--- a/dapplehinge/proxy/platform/links.py
+++ b/dapplehinge/proxy/platform/links.py
@@ -18,7 +18,7 @@
 from dapplehinge.platform.reports import ReportError, report_from
 from dapplehinge.platform.service import Service
 from dapplehinge.platform.telemetry import LinkClose
-from dapplehinge.proxy.platform.streams import CHUNK, bounded, family_of
+from dapplehinge.proxy.platform.streams import CHUNK, bounded, family_of, free_error
 
 MOST_UNREAD = 256 * 1024
 
@@ -58,6 +58,7 @@
             return
         try:
             stream.write(data)
+            free_error(stream)
         except StreamBufferFullError:
             log.warning("link.not_read link=%d", link)
             self.service.metrics.link_closes[LinkClose.NOT_READING] += 1
@@ -111,6 +112,7 @@
             log.exception("link.fault link=%d", link)
         self.streams.pop(link, None)
         stream.close()
+        free_error(stream)
         self.service.link_lost(link, self.clock())
         self.pump()
 
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -15,6 +15,7 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.descriptors import DescriptorBudget
 from dapplehinge.platform.members import Members
+from dapplehinge.platform.memory import MemoryBudget
 from dapplehinge.platform.offers import OfferReader
 from dapplehinge.platform.service import Service
 from dapplehinge.platform.shutdown import Load, Phase, Shutdown
@@ -24,6 +25,7 @@
 from dapplehinge.proxy.platform.feed import Feed
 from dapplehinge.proxy.platform.links import Links
 
+BYTES_PER_MB = 1_000_000
 SWEEP_INTERVAL_MS = 250  # ms
 METRICS_INTERVAL_MS = 10_000
 SHUTDOWN_TICK_S = 0.005
@@ -40,7 +42,10 @@
         self.links = Links(self.service, clock, self.pump)
         self.descriptors = DescriptorBudget(config.sockets)
         offers = OfferReader(config.facts)
-        self.callers = Callers(self.service, offers, config.name, clock, self.pump, self.most_callers)
+        memory = MemoryBudget(int(config.memory_mb * BYTES_PER_MB))
+        self.callers = Callers(
+            self.service, offers, config.name, clock, self.pump, self.most_callers, memory
+        )
         self.shutdown = Shutdown(max(offers.longest))
         self.feed = Feed(config.feed, lambda: self.members.event, self.told)
         self.sock = sock
--- a/dapplehinge/sip/codec.py
+++ b/dapplehinge/sip/codec.py
@@ -1,7 +1,7 @@
 """SIP messages over a stream: bytes in, typed messages or one error out; RFC 3261 sections 7 and 18.3.
 
 Strict where a wrong guess would join or split messages: lines end in CRLF, `Content-Length` stands in every
-message, no line is folded, fields that the platform reads come once. All else is let through unread. A
+message, no line is folded, fields that the platform reads come once. All else is let through and not kept. A
 reader that has met an error gives nothing more.
 """
 
@@ -21,6 +21,14 @@
 LENGTH = re.compile(r"\d{1,9}\Z")
 SEQUENCE = re.compile(r"(\d{1,10})[ \t]+([A-Z]{1,20})\Z")
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to"}  # RFC 3261 7.3.3
+KEPT = frozenset(
+    {
+        "via", "from", "to", "call-id", "cseq", "content-length", "reason",
+        "p-kind", "p-time-left", "p-billed", "p-second-try", "p-path", "p-gap-ms",
+    }
+)  # fmt: skip
+"""Fields that the platform reads; others are checked and not kept, as a head may have very many."""
+
 ONCE = frozenset({"call-id", "cseq", "content-length", "from", "to", "reason"})
 ECHOED = ("via", "from", "to", "call-id", "cseq")  # RFC 3261 8.2.6.2
 
@@ -53,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """A request has a `method` and `uri`, a response a `status`; header names are in lower case."""
+    """A request has a `method` and `uri`, a response a `status`; `fields` has those of `KEPT`."""
 
     method: str  # of a response: the one in its CSeq
     uri: str
@@ -76,9 +84,10 @@
 
 def parse_head(head: bytes) -> tuple[Message, int]:
     """The message without its body, and the body's length; `head` ends before the empty line."""
+    count = head.count(b"\r\n")
+    if count > MOST_HEADERS:
+        raise SipError(400, f"{count} header fields, {MOST_HEADERS} at most")
     first, *lines = head.split(b"\r\n")
-    if len(lines) > MOST_HEADERS:
-        raise SipError(400, f"{len(lines)} header fields, {MOST_HEADERS} at most")
     method, uri, status = "", "", 0
     if match := REQUEST_LINE.match(first):
         method, uri = match[1].decode(), match[2].decode("ascii", "replace")
@@ -87,18 +96,22 @@
     else:
         raise SipError(400, f"no start line: {first[:40]!r}")
     fields: dict[str, str] = {}
+    once: set[str] = set()
     for line in lines:
         match = FIELD.match(line)
         if match is None:
             raise SipError(400, f"no header field: {line[:40]!r}")
         name = match[1].decode().lower()
         name = COMPACT.get(name, name)
-        value = match[2].decode("utf-8", "surrogateescape").strip(" \t")
-        if name in fields:
-            if name in ONCE or name.startswith("p-"):
+        if name in ONCE or name.startswith("p-"):
+            if name in once:
                 raise SipError(400, f"{name} comes twice")
-            if name == "via":
-                value = f"{fields[name]}\n{value}"
+            once.add(name)
+        if name not in KEPT:
+            continue
+        value = match[2].decode("utf-8", "surrogateescape").strip(" \t")
+        if name == "via" and name in fields:
+            value = f"{fields[name]}\n{value}"
         fields[name] = value
     length = fields.get("content-length")
     if length is None or not LENGTH.match(length):
@@ -123,8 +136,14 @@
     def __init__(self) -> None:
         self._held = b""
         self._head: tuple[Message, int] | None = None
+        self._head_bytes = 0
         self._broken = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Of the message that is not whole."""
+        return len(self._held) + (self._head_bytes if self._head else 0)
+
     @property
     def amid(self) -> bool:
         """A message has begun and is not whole."""
@@ -149,6 +168,7 @@
                         self._check_start(held)
                         break
                     self._head = parse_head(held[:end])
+                    self._head_bytes = end
                     held = held[end + 4 :]
                 message, length = self._head
                 if len(held) < length:
@@ -158,11 +178,15 @@
                 messages.append(message)
                 held, self._head = held[length:], None
         except SipError as fault:
-            self._held, self._head, self._broken = b"", None, True
+            self.close()
             return messages, fault
         self._held = held
         return messages, None
 
+    def close(self) -> None:
+        """Let go of what is held; nothing more is given."""
+        self._held, self._head, self._broken = b"", None, True
+
     @staticmethod
     def _check_start(held: bytes) -> None:
         """Tell noise at once: a first line that is whole, or too long, must be a start line."""
--- a/tests/pressure/__main__.py
+++ b/tests/pressure/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m tests.pressure [KIND ...]`: bad clients at both ends of the limits; exit 1 on a fault."""
+"""`python -m tests.pressure [KIND ...]`: bad clients at the ends of the limits; exit 1 on a fault."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from tests.pressure.clients import Kind
-from tests.pressure.trial import LARGEST, SMALLEST, Result, run_trial
+from tests.pressure.trial import CROWDED, LARGEST, SMALLEST, Result, run_trial
 
 
 def main() -> int:
@@ -17,13 +17,15 @@
     parser.add_argument("--parallel", type=int, default=2, help="trials side by side")
     options = parser.parse_args()
     kinds = [Kind(name) for name in options.kinds] or list(Kind)
+    pairs = [
+        (kind, limits)
+        for kind in kinds
+        for limits in (SMALLEST, CROWDED, LARGEST)
+        if limits is not CROWDED or not kind.is_one_connection
+    ]
     failed = 0
     with ProcessPoolExecutor(options.parallel) as pool:
-        trials = [
-            pool.submit(run_trial, kind, limits, options.seconds)
-            for kind in kinds
-            for limits in (SMALLEST, LARGEST)
-        ]
+        trials = [pool.submit(run_trial, kind, limits, options.seconds) for kind, limits in pairs]
         for trial in trials:
             failed += show(trial.result())
     print(f"{len(trials) - failed} passed, {failed} failed")
--- a/tests/pressure/clients.py
+++ b/tests/pressure/clients.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import os
 import sys
 from collections.abc import Callable, Iterator
 from enum import Enum
@@ -28,6 +29,9 @@
     MANY_SHORT_FIELDS = "many-short-fields"  # whole set-ups whose head has as many as are allowed, and a body
     WHOLE = "whole"  # four whole set-ups of 16 KiB that stay open
     SMALL_OPEN = "small-open"  # hundreds of small set-ups that stay open
+    NOT_READING = "not-reading"  # ask for much, and read nothing
+    MANY_UNSOUND = "many-unsound"  # unsound set-ups on many connections at full speed
+    MANY_SOUND = "many-sound"  # set-ups that make sense, the same way
 
     OPTIONS = "options"
     UNKNOWN_TENANTS = "unknown-tenants"
@@ -139,6 +143,16 @@
             for _ in range(4):
                 yield filled(random.getrandbits(63) | 1, HANGING_PLACE), 0.0
             yield b"", 60.0
+        case Kind.NOT_READING:
+            for _ in range(3000):
+                yield message("OPTIONS", call) * LINES_AT_ONCE, 0.0
+            yield b"", 60.0
+        case Kind.MANY_UNSOUND:
+            for _ in range(100_000):
+                yield b"".join(one_of(Kind.UNKNOWN_TENANTS, random, "") for _ in range(LINES_AT_ONCE)), 0.001
+        case Kind.MANY_SOUND:
+            for _ in range(100_000):
+                yield b"".join(one_of(Kind.STANDING, random, "") for _ in range(LINES_AT_ONCE)), 0.001
         case Kind.SMALL_OPEN:
             for _ in range(200):
                 yield set_up(random.getrandbits(63) | 1, HANGING_PLACE), 0.0
@@ -157,7 +171,7 @@
             with contextlib.suppress(OSError, asyncio.TimeoutError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 self.connections += 1
-                reading = asyncio.ensure_future(drain(reader))
+                reading = asyncio.ensure_future(drain(reader, self.kind is not Kind.NOT_READING))
                 acting = asyncio.ensure_future(act(writer, random))  # type: ignore[arg-type]
                 await asyncio.wait((reading, acting), return_when=asyncio.FIRST_COMPLETED)
                 for task in (reading, acting):
@@ -184,7 +198,9 @@
                 await asyncio.sleep(pause_s)
 
 
-async def drain(reader: asyncio.StreamReader) -> None:
+async def drain(reader: asyncio.StreamReader, reads: bool) -> None:
+    while not reads:
+        await asyncio.sleep(60.0)
     while await reader.read(1 << 16):
         pass
 
@@ -198,6 +214,8 @@
     for task in tasks:
         task.cancel()
     print(f"{clients.sent} sent on {clients.connections} connections in {monotonic() - begun:.1f} s")
+    sys.stdout.flush()
+    os._exit(0)  # hundreds of connections, at once
 
 
 if __name__ == "__main__":
--- a/tests/pressure/trial.py
+++ b/tests/pressure/trial.py
@@ -42,7 +42,7 @@
         return self.sockets // 3 - 2 * CALLERS.connections
 
 
-SMALLEST, LARGEST = Limits(32, 256), Limits(192, 1024)
+SMALLEST, CROWDED, LARGEST = Limits(32, 256), Limits(32, 1024), Limits(192, 1024)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_bounds.py
+++ b/tests/test_platform_bounds.py
@@ -2,9 +2,10 @@
 
 from dapplehinge import interface as api
 from dapplehinge.platform import actions as act
+from dapplehinge.platform.memory import MemoryBudget
 from dapplehinge.platform.reports import report_from
 from dapplehinge.platform.restored import CALLS_PER_CIRCUIT, MAX_RESTORED_CALLS
-from dapplehinge.platform.service import Admission
+from dapplehinge.platform.service import Admission, held_bytes
 from dapplehinge.platform.telemetry import Shed
 from dapplehinge.rules import MAX_ENGAGED_NUMBERS, MIN_PRUNED_LOOKS, MIN_WAITING_PLACES
 from tests.conftest import Proxy
@@ -121,3 +122,34 @@
     [refusal] = [a for a in proxy.offer(1, call_class=1) if isinstance(a, api.Refuse)]
     assert refusal.call == MIN_WAITING_PLACES  # the newest of those that waited
     assert proxy.calls in proxy.controller.waiting[1]
+
+
+def test_set_ups_held_open_by_bad_clients_do_not_fill_the_memory():
+    rig = Rig()
+    rig.offer(0x100, conn=BAD)
+    [first] = rig.service.in_flight.values()
+    rig.service.max_open_bytes = 10 * held_bytes(first)
+    answers = []
+    for call in range(0x101, 0x101 + 50):
+        answers += of(rig.offer(call, conn=BAD), act.Respond)
+    assert len(rig.service.in_flight) == 10 and rig.service.metrics.shed[Shed.OPEN_SET_UP] == 41
+    assert len(answers) == 41 and {answer.status for answer in answers} == {504}  # each was out
+    assert sorted(rig.service.calls) == list(range(0x101 + 40, 0x101 + 50))  # the oldest gave way
+    for call in list(rig.service.calls):
+        rig.answered(call)
+    assert not rig.service.open_bytes and not rig.service.in_flight and len(rig.peer(1).standing) == 10
+
+
+def test_one_set_up_larger_than_all_that_may_be_held_is_answered():
+    rig = Rig()
+    rig.service.max_open_bytes = 1
+    [answer] = of(rig.offer(0x100), act.Respond)
+    assert answer.status == 504 and not rig.service.calls and not rig.service.open_bytes
+
+
+def test_callers_get_part_of_what_the_process_leaves_of_its_memory():
+    budgets = [MemoryBudget(megabytes * 1_000_000) for megabytes in (16, 32, 64, 192, 2048)]
+    held = [each.open_set_ups + each.partial_messages for each in budgets]
+    assert held == sorted(held) and held[1] <= 0.5 * (32_000_000 - 27_000_000)
+    for budget in budgets:
+        assert 16 * 1024 < budget.unsent(1000) <= budget.unsent(10)
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -4,9 +4,17 @@
 import socket
 
 from dapplehinge.platform.actions import ReleaseCaller, Respond
+from dapplehinge.platform.memory import MemoryBudget
 from dapplehinge.platform.releases import Trust
 from dapplehinge.platform.shutdown import CROSSING_MS
-from dapplehinge.proxy.platform.callers import ACCEPT_PAUSE_S, Callers
+from dapplehinge.platform.telemetry import CallerClose
+from dapplehinge.proxy.platform.callers import (
+    ACCEPT_PAUSE_S,
+    CLOSE_GRACE_MS,
+    IDLE_TIMEOUT_MS,
+    Callers,
+)
+from dapplehinge.proxy.platform.turns import Turns
 from dapplehinge.sip.codec import response
 from tests.platform_kit import Rig, of, said
 from tests.test_platform_live import PATIENCE
@@ -248,3 +256,104 @@
         second.close()
 
     played(scenario)
+
+
+class SmallMemory(MemoryBudget):
+    partial_messages = 3000
+
+
+def answering(rig, callers):
+    callers.pump = lambda: [callers.respond(each) for each in of(rig.taken(), Respond)]
+
+
+def large(call, size):
+    """The beginning of a set-up that is never whole."""
+    return said(call).replace(b"Content-Length: 4", b"Content-Length: 9000") + b"x" * size
+
+
+def test_messages_that_stop_half_way_do_not_fill_the_memory():
+    async def scenario(rig, callers, addr):
+        callers.memory = SmallMemory(0)
+        answering(rig, callers)
+        small, first = await asyncio.open_connection(*addr)
+        first.write(large(0x11, 100))
+        await until(lambda: callers.partial_bytes)
+        reader, second = await asyncio.open_connection(*addr)
+        second.write(said(0x12))
+        await until(lambda: rig.service.in_flight)
+        second.write(large(0x13, 4000))
+        answers = await reader.read()  # to its end
+        assert [line for line in answers.split(b"\r\n") if line.startswith(b"SIP/2.0")] == [
+            b"SIP/2.0 504 Server Time-out",  # the set-up that was open there
+            b"SIP/2.0 503 Service Unavailable",
+        ]
+        second.close()
+        await until(lambda: len(callers.conns) == 1)
+        assert rig.service.metrics.caller_closes[CallerClose.MEMORY] == 1
+        [left] = callers.conns.values()
+        assert callers.partial_bytes == left.reader.held_bytes > 0
+        first.close()
+        await until(lambda: not callers.conns)
+        assert not callers.partial_bytes
+
+    played(scenario)
+
+
+def test_half_a_message_does_not_cost_the_set_ups_that_are_open_on_its_connection():
+    async def scenario(rig, callers, addr):
+        answering(rig, callers)
+        reader, writer = await asyncio.open_connection(*addr)
+        writer.write(said(0x11))
+        await until(lambda: rig.service.in_flight)
+        writer.write(large(0x12, 10))
+        await until(lambda: callers.partial_bytes)
+        rig.now += IDLE_TIMEOUT_MS
+        callers.sweep(rig.now)
+        assert len(callers.conns) == 1
+        rig.service.answered(rig.link(1), 0x11, b"there", rig.now)
+        callers.pump()
+        callers.sweep(rig.now)
+        answers = await reader.read()
+        assert b"SIP/2.0 200 OK" in answers and b"SIP/2.0 408" in answers
+        writer.close()
+
+    played(scenario)
+
+
+def test_set_ups_open_on_a_connection_that_can_t_be_read_any_more_are_answered():
+    async def scenario(rig, callers, addr):
+        answering(rig, callers)
+        reader, writer = await asyncio.open_connection(*addr)
+        writer.write(said(0x11) + said(0x12))
+        await until(lambda: len(rig.service.in_flight) == 2)
+        writer.write(said(0x13).replace(b"P-Kind", b"From: a\r\nFrom: b\r\nP-Kind"))
+        answers = await reader.read()
+        assert (answers.count(b"SIP/2.0 504"), answers.count(b"SIP/2.0 400")) == (2, 1)
+        rig.now += CLOSE_GRACE_MS
+        callers.sweep(rig.now)  # the caller does not close
+        assert not callers.conns and rig.service.metrics.caller_closes[CallerClose.UNREADABLE] == 1
+        writer.close()
+
+    played(scenario)
+
+
+def test_connections_with_much_to_be_read_share_one_turn_of_the_loop():
+    async def scenario():
+        turns, order = Turns(), []
+
+        async def heavy(name):
+            for _ in range(3):
+                await turns.wait()
+                order.append(name)
+
+        tasks = [asyncio.ensure_future(heavy(name)) for name in range(5)]
+        given_up = tasks.pop(2)
+        for step in range(12):
+            await asyncio.sleep(0)
+            if step == 0:
+                given_up.cancel()
+            assert len(order) <= step + 1  # one in each turn at the most
+        await asyncio.gather(*tasks)
+        assert order == [0, 1, 3, 4] * 3
+
+    asyncio.run(scenario())
--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -498,6 +498,7 @@
         ({"feed": "nowhere"}, "feed"),
         ({"seed": "xyz"}, "seed"),
         ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"limits": {"memory_mb": "much"}}, "limits.memory_mb"),
         ({"settings": {}}, "lanes.count"),
         ({"settings": None}, "settings"),
         ({"listen": "127.0.0.1"}, "listen"),
--- a/tests/test_trunk_codecs.py
+++ b/tests/test_trunk_codecs.py
@@ -86,6 +86,29 @@
     assert [m.method for m in seen] == ["BYE"] and fault is not None
 
 
+def test_sip_a_head_of_very_many_short_fields_is_not_kept_as_such():
+    extra = b"".join(b"h%d:%d\r\n" % (field, field) for field in range(85))
+    reader = sip.Reader()
+    cut = INVITE.replace(b"Content-Length", extra + b"Content-Length")[:-1]
+    assert reader.feed(cut) == ([], None) and reader.held_bytes == len(cut) - 4  # less its empty line
+    [message], fault = reader.feed(b"y")
+    assert fault is None and not any(name.startswith("h") for name in message.fields)
+    assert not reader.held_bytes
+
+
+@pytest.mark.parametrize("name", [b"P-Kind", b"P-Other", b"From", b"Reason"])
+def test_sip_a_field_that_comes_twice_is_an_error_though_it_is_not_kept(name):
+    twice = INVITE.replace(b"Content-Length", name + b": x\r\n" + name + b": x\r\nContent-Length")
+    assert sip.Reader().feed(twice)[1].status == 400
+
+
+def test_sip_a_reader_that_was_closed_holds_nothing():
+    reader = sip.Reader()
+    reader.feed(INVITE[:-1])
+    reader.close()
+    assert not reader.held_bytes and not reader.amid and reader.feed(INVITE) == ([], None)
+
+
 def test_sip_response_repeats_what_it_must():
     [message], _ = sip.Reader().feed(INVITE)
     answer = sip.response(503, message.echo(), b"P-Gap-Ms: 250\r\n")
