Platform: set-ups of callers who have left do not go out, and no id goes out twice

Cause: the end of a connection is seen after all that came before it, and each set-up was taken as if its caller waited; a call that was given up was forgotten, so that its id was new again.

Change: the system is asked whether the caller has closed before a set-up is taken (POLLRDHUP; half a close has always counted as one here); ids that went out are remembered for 30 s, 16,384 of them, and a copy gets 482, as that of an open call.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -32,6 +32,7 @@
 from dapplehinge.platform.members import Change, Member
 from dapplehinge.platform.memory import OPEN_SET_UP_BYTES
 from dapplehinge.platform.offers import Offer, dialled
+from dapplehinge.platform.recent import RecentIds
 from dapplehinge.platform.reports import NOTES, OUTCOMES, Report
 from dapplehinge.platform.restored import RestoredCalls
 from dapplehinge.platform.settings import Facts, settings_from
@@ -102,7 +103,7 @@
 class Admission(IntEnum):
     """What became of a set-up as it was offered; false where it was not taken."""
 
-    ID_IN_USE = 0
+    ID_IN_USE = 0  # or it went out before
     TAKEN = 1
     SHED = 2  # a bound was reached; its caller is told that it is over
 
@@ -127,6 +128,7 @@
         self.metrics = Metrics()
         self.links_per_switch = MAX_LINKS
         self.restored = RestoredCalls()
+        self.recent = RecentIds()
         self.unclaimed: dict[int, UnclaimedRelease] = {}  # by call id, the oldest first
         self.answer_by = inf  # ms at which a shutdown ends all calls
         self.now = self.began = 0.0
@@ -557,7 +559,7 @@
             admission = self._stands_already(conn, offer, known)
             self._run()
             return admission
-        if known is not None:
+        if known is not None or self.recent.knows(offer.id, now):
             return Admission.ID_IN_USE
         self._calls_made += 1
         call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number, History(self.now))
@@ -851,6 +853,7 @@
             return
         peer.wanting.pop(call.id, None)
         attempt.link = link
+        self.recent.note(call.id, self.now)
         peer.links[link].out.add(call.id)
         self._record(call, Step.SENT, f"{peer.id}/{link}")
         wait = attempt.due - self.now
--- a/dapplehinge/platform/telemetry.py
+++ b/dapplehinge/platform/telemetry.py
@@ -52,8 +52,9 @@
 
 
 class Shed(Enum):
-    """What was given up or refused since a bound was reached."""
+    """What was not taken or given up though it could be read."""
 
+    CALLER_LEFT = "caller-left"  # a set-up that was read after its caller had closed
     OPEN_SET_UP = "open-set-up"  # the oldest without an answer: all together hold too many bytes
     RESTORED_CALL = "restored-call"  # more calls were named at a switch than it can hold
 
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -12,6 +12,7 @@
 import contextlib
 import errno
 import logging
+import select
 import socket
 from collections.abc import Callable
 from enum import Enum, auto
@@ -28,7 +29,7 @@
 from dapplehinge.platform.releases import CallerReleases, Send, Trust
 from dapplehinge.platform.service import Admission, Service
 from dapplehinge.platform.shutdown import CROSSING_MS
-from dapplehinge.platform.telemetry import CallerClose
+from dapplehinge.platform.telemetry import CallerClose, Shed
 from dapplehinge.proxy.platform.streams import bounded, free_error
 from dapplehinge.proxy.platform.turns import Turns
 from dapplehinge.sip import codec as sip
@@ -434,6 +435,9 @@
         except OfferError:
             self._write(caller, sip.response(400, echo))
             return False
+        if not offer.standing_at and has_ended(caller.stream):
+            self.service.metrics.shed[Shed.CALLER_LEFT] += 1
+            return True
         admission = self.service.offered(caller.number, offer, echo, now)
         if admission is Admission.ID_IN_USE:
             self._write(caller, sip.response(482, echo))
@@ -479,6 +483,15 @@
                 self._write(caller, bye)
 
 
+def has_ended(stream: IOStream) -> bool:
+    """The caller has closed, though something that he sent may not have been read yet."""
+    if stream.closed():
+        return True
+    look = select.poll()
+    look.register(stream.socket, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 def nothing_unread(stream: IOStream) -> bool:
     """No byte waits in the socket; a closed stream has none any more, though its reader may not know yet."""
     if stream.closed():
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -3,11 +3,11 @@
 import asyncio
 import socket
 
-from dapplehinge.platform.actions import ReleaseCaller, Respond
+from dapplehinge.platform.actions import ReleaseCaller, Respond, SendSetUp
 from dapplehinge.platform.memory import MemoryBudget
 from dapplehinge.platform.releases import Trust
 from dapplehinge.platform.shutdown import CROSSING_MS
-from dapplehinge.platform.telemetry import CallerClose
+from dapplehinge.platform.telemetry import CallerClose, Shed
 from dapplehinge.proxy.platform.callers import (
     ACCEPT_PAUSE_S,
     CLOSE_GRACE_MS,
@@ -357,3 +357,19 @@
         assert order == [0, 1, 3, 4] * 3
 
     asyncio.run(scenario())
+
+
+def test_what_is_read_after_its_caller_has_closed_does_not_go_out():
+    async def scenario(rig, callers, addr):
+        _, other = await asyncio.open_connection(*addr)
+        other.write(said(0x10, "at:s-2"))
+        await until(lambda: 0x10 in rig.service.calls)
+        with socket.create_connection(addr) as leaving:
+            bye = said(0x10).replace(b"INVITE", b"BYE")
+            leaving.sendall(b"".join(said(call) for call in range(0x100, 0x100 + 100)) + bye)
+        await until(lambda: len(callers.conns) == 1 and 0x10 not in rig.service.calls)  # the release counts
+        assert not of(rig.taken(), SendSetUp) and not rig.service.in_flight
+        assert rig.service.metrics.shed[Shed.CALLER_LEFT] == 100
+        other.close()
+
+    played(scenario)
--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -490,6 +490,22 @@
     play(scenario, tmp_path)
 
 
+def test_a_switch_gets_an_id_once_though_its_caller_leaves_and_comes_again_with_it(tmp_path):
+    async def scenario(stage: Stage) -> None:
+        direct, first = stage.switches[1], await stage.caller()
+        first.invite(0x11, "00")
+        assert (await direct.next(isup.Type.IAM)).call == 0x11
+        first.writer.close()
+        assert (await direct.next(isup.Type.REL)).call == 0x11
+        again = await stage.caller()
+        again.invite(0x11, "00")
+        assert (await again.hear()).status == 482
+        again.invite(0x12, "00")
+        assert (await direct.next(isup.Type.IAM)).call == 0x12
+
+    play(scenario, tmp_path)
+
+
 @pytest.mark.parametrize(
     ("change", "place"),
     [
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -8,6 +8,7 @@
 from dapplehinge.platform import actions as act
 from dapplehinge.platform.members import FeedError, Members
 from dapplehinge.platform.offers import OfferError, OfferReader
+from dapplehinge.platform.recent import MAX_RECENT_IDS, RECENT_KEPT_MS
 from dapplehinge.platform.reports import NOTES, OUTCOMES, ReportError, report_from
 from dapplehinge.platform.service import RELEASE_KEPT_MS
 from dapplehinge.platform.settings import Facts, settings_from
@@ -141,6 +142,29 @@
     assert not rig.service.offered(2, offer, b"", rig.now)
 
 
+def test_an_id_that_comes_again_after_its_caller_has_left_does_not_run_twice(rig):
+    rig.offer()
+    rig.service.caller_lost(1, rig.now)
+    standing(rig, 0x12)
+    rig.released(0x12)
+    rig.taken()
+    for call in (0x11, 0x12):  # one was given up, one has stood and is over
+        assert not rig.service.offered(2, rig.offers.read(invite(call)), b"", rig.now)
+    assert not of(rig.taken(), act.SendSetUp)
+    rig.service.recent.note(0x13, rig.now)
+    rig.wait(RECENT_KEPT_MS)
+    for call in range(0x1000, 0x1000 + MAX_RECENT_IDS):
+        rig.service.recent.note(call, rig.now)
+    assert len(rig.service.recent) == MAX_RECENT_IDS
+    assert rig.service.offered(2, rig.offers.read(invite(0x11)), b"", rig.now)
+
+
+def test_a_set_up_that_was_refused_unsent_may_come_again(rig):
+    rig.offer(path="dest:9;width:1;via:-1")
+    assert not rig.service.calls
+    assert rig.service.offered(2, rig.offers.read(invite()), b"", rig.now)
+
+
 # Ends that cross
 
 
