Platform: a new switch at an old address takes over what came up after its start

Calls that stood at the new one were released as the list told of it, and set-ups for the old id went to the new switch for as long as the old one was listed.

Cause: links and calls belonged to an id; which process was at the other end was not asked when the list named another switch at the same address.

Evidence: a probe of these steps on the code before: both calls released, the one at the old switch and the one at the new. The new tests name state that the code before does not keep, so they were not run on it.

Change: `_take_over`. Links that came up after the start of the new switch, with nothing out, and the calls set up on them are its own; what is older is closed and cut, and nothing goes out for the old id any more. Calls at a switch that leaves are released there as well, where a link is up.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -245,7 +245,8 @@
     def told(self, change: Change, now: float) -> None:
         self.now = now
         self._events.append(change.told)  # first, so that what ends by it does not go there again
-        for member in change.members:
+        # who comes before who goes: a new switch may have the address of one that has gone
+        for member in sorted(change.members, key=lambda each: each.entry.state is api.SwitchState.GONE):
             state = member.entry.state
             self.interlock.told(member.number, state is api.SwitchState.READY, now)
             peer = self.peers.get(member.number)
@@ -253,6 +254,7 @@
                 peer = Peer(member.number, member.id, member.address, last_heard=now)
                 peer.started_at = member.entry.started_at
                 peer.draining = state is api.SwitchState.DRAINING
+                self._take_over(peer)
                 self.peers[member.number] = peer
                 self.by_id[member.id] = peer
                 self._open(peer)
@@ -269,7 +271,12 @@
         for call in list(peer.wanting.values()):  # a connect is pending: nothing may leave afterwards
             self._end_attempt(call, api.Outcome.UNREACHABLE)
         if member.entry.state is api.SwitchState.GONE:
-            del self.peers[peer.number], self.by_id[peer.id]
+            del self.peers[peer.number]
+            if self.by_id.get(peer.id) is peer:
+                del self.by_id[peer.id]
+            for id_ in sorted(peer.standing):  # in case that a process is there all the same
+                if self.calls[id_].link in peer.links:
+                    self._send_release(peer, self.calls[id_].link, id_, Cause.TEMPORARY_FAILURE)
             for link in [*peer.links, *([peer.opening] if peer.opening else [])]:
                 self._drop_link(peer, link)
                 self.metrics.link_closes[LinkClose.SWITCH_GONE] += 1
@@ -277,6 +284,30 @@
             self._cut_standing(peer)
             peer.releases.clear()
 
+    def _take_over(self, successor: Peer) -> None:
+        """A new switch at the address of another: what came up after its start leads to it."""
+        for former in self.peers.values():
+            if former.address != successor.address or former.replaced:
+                continue
+            if started_before(successor, former):  # one list may name both, in any order
+                successor.replaced = True
+                continue
+            former.replaced = True
+            started = successor.started_at or self.now
+            for number, link in list(former.links.items()):
+                if link.since >= started and not link.out:
+                    successor.links[number] = former.links.pop(number)
+                    self.link_peer[number] = successor
+            for id_ in sorted(former.standing):
+                call = self.calls[id_]
+                if call.linked_at >= started:
+                    former.standing.discard(id_)
+                    successor.standing.add(id_)
+                    call.stands_at = successor
+            for call in list(former.wanting.values()):
+                self._end_attempt(call, api.Outcome.UNREACHABLE)
+            self._end_process(former, self.now)
+
     def _note_process(self, peer: Peer, member: Member) -> None:
         """Where the list tells another process under the id, what led to the one before is over."""
         started = member.entry.started_at
@@ -286,7 +317,7 @@
             self._end_process(peer, started)
         else:
             return
-        peer.address = member.address
+        peer.address, peer.replaced = member.address, False
         peer.started_at = max(peer.started_at, started)
         if not peer.links and not peer.opening:
             self._open(peer)
@@ -306,6 +337,8 @@
     # Links
 
     def _open(self, peer: Peer) -> None:
+        if peer.replaced:
+            return  # another switch is at its address
         self._links_made += 1
         peer.opening = self._links_made
         self.link_peer[peer.opening] = peer
@@ -837,7 +870,7 @@
             return
         peer = attempt.peer
         answer = self.interlock.ask(peer.number, False, call.doubtful_end, self.now)
-        if answer.ruling is Ruling.BAR:
+        if answer.ruling is Ruling.BAR or peer.replaced:
             self._end_attempt(call, api.Outcome.UNREACHABLE)
             return
         if answer.ruling is Ruling.HOLD:
@@ -885,6 +918,13 @@
         self.actions.append(act.SendTest(link, self._tests_made))
 
 
+def started_before(one: Peer, other: Peer) -> bool:
+    """By the list; of two that it does not tell apart the one that drains."""
+    if one.started_at != other.started_at:
+        return one.started_at < other.started_at
+    return one.draining and not other.draining
+
+
 def held_bytes(call: Call) -> int:
     """Bytes held for a call while it has no answer."""
     description = call.offer.description if call.offer is not None else b""
--- a/dapplehinge/platform/table.py
+++ b/dapplehinge/platform/table.py
@@ -68,6 +68,7 @@
     number: api.SwitchId
     id: str
     address: tuple[str, int]
+    replaced: bool = False  # the list has told another switch at its address
     draining: bool = False  # it may refuse new connections, and what stands there goes on
     links: dict[int, Link] = field(default_factory=dict)
     last_heard: float = 0.0  # on any link, also those that have gone
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -121,3 +121,50 @@
     rig.service.offered(1, rig.offers.read(invite(0x21, path="at:s-2")), b"", rig.now)
     assert not released(rig.list(row(2, started_ms=rig.service.began - 100)))
     assert released(rig.list(row(2, started_ms=rig.now + 100))) == [(0x21, Cause.TEMPORARY_FAILURE)]
+
+
+def successor(rig, started):
+    """A new switch, told before its predecessor has left the list, at whose address it is."""
+    return rig.list(row(1, id_="s-new", addr="127.0.0.2:2905", started_ms=started))
+
+
+def test_calls_that_a_new_switch_took_at_the_address_of_one_that_died_stay_as_it_is_told(rig):
+    died = rig.now
+    link = relink(rig)
+    rig.offer(0x12)
+    rig.answered(0x12)  # by the successor
+    seen = successor(rig, died + 50)
+    assert released(seen) == [(0x11, Cause.TEMPORARY_FAILURE)] and act.CloseLink(link) not in seen
+    assert not released(rig.list({"id": "s-1", "state": "left"}))
+    new = rig.service.by_id["s-new"]
+    assert set(rig.service.calls) == new.standing == {0x12} and link in new.links
+    rig.service.released(link, 0x12, 16, "", (), rig.now)
+    assert released(rig.taken()) == [(0x12, 16)]
+
+
+def test_set_ups_for_a_switch_that_died_do_not_go_to_the_new_one_at_its_address(rig):
+    old = rig.peer(1)
+    rig.offer(0x12)  # out at the one that dies
+    successor(rig, rig.now + 50)
+    assert rig.service.calls[0x12].last is api.Outcome.CUT
+    assert not old.links and not old.opening
+    for action in of(rig.wait(3000), act.OpenLink):
+        assert action.switch != old.number
+    assert not old.links and not old.opening
+
+
+def test_calls_at_a_switch_that_leaves_while_it_can_be_reached_are_ended_there_too(rig):
+    link = rig.link(1)
+    seen = rig.list({"id": "s-1", "state": "left"})
+    release, close = act.SendRelease(link, 0x11, Cause.TEMPORARY_FAILURE), act.CloseLink(link)
+    assert released(seen) == [(0x11, Cause.TEMPORARY_FAILURE)] and seen.index(release) < seen.index(close)
+
+
+@pytest.mark.parametrize("order", [1, -1])
+def test_of_two_switches_told_at_one_address_the_one_that_started_last_is_there(order):
+    rig = Rig(linked=False)
+    old = row(5, "leaving", addr="127.0.0.9:1", started_ms=100)
+    new = row(5, id_="s-new", addr="127.0.0.9:1", started_ms=rig.now)
+    rig.list(*[old, new][::order])
+    assert rig.peer(5).replaced and not rig.service.by_id["s-new"].replaced
+    assert not rig.peer(5).opening and rig.service.by_id["s-new"].opening
