Platform: at the most links of a switch a new connection takes the place of the oldest

Cause: with two links a switch both become suspect together, and `_try_another` made no third: nothing was ever asked again, and 6.5 s later `_watch` ended the calls.

Tests with one and two links, and the one of the switch that hangs, fail before; with three and four links they pass, as the claim says.

Change: `_try_another` is the one place that decides: at the limit the oldest link, those with nothing out first, makes room.

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -457,8 +457,19 @@
             self._try_another(peer)
 
     def _try_another(self, peer: Peer) -> None:
-        if not peer.opening and len(peer.links) < self.links_per_switch and not self._link(peer):
-            self._open(peer)
+        """Where no link is trusted, a new connection tells whether the switch or its links are silent.
+
+        At the most links that a switch may have, the new one takes the place of the oldest: else nothing
+        would ever be asked again.
+        """
+        if peer.opening or self._link(peer):
+            return
+        if len(peer.links) >= self.links_per_switch:
+            oldest = min(peer.links, key=lambda number: (bool(peer.links[number].out), number))
+            self._drop_link(peer, oldest)
+            self.metrics.link_closes[LinkClose.SILENT] += 1
+            self.actions.append(act.CloseLink(oldest))
+        self._open(peer)
 
     def _watch(self) -> None:
         self._at(self.now + HEALTH_CHECK_INTERVAL_MS, _Due.WATCH)
@@ -881,8 +892,7 @@
         if not link:
             self._record(call, Step.NO_LINK)
             peer.wanting[call.id] = call
-            if not peer.opening:
-                self._open(peer)
+            self._try_another(peer)
             return
         peer.wanting.pop(call.id, None)
         attempt.link = link
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -467,6 +467,31 @@
     assert 0x11 in rig.service.calls and all(len(p.links) <= 4 for p in rig.service.peers.values())
 
 
+@pytest.mark.parametrize("links", [1, 2, 3, 4])
+def test_calls_at_a_sound_switch_that_has_nothing_to_tell_are_not_ended_with_few_links(rig, links):
+    rig.service.links_per_switch = links
+    standing(rig)
+    opened = []
+    for _ in range(300):  # each new link brings the state of its group, and then nothing
+        for action in of(opened, act.OpenLink):
+            rig.service.link_up(action.link, rig.now)
+            rig.service.heard(action.link, rig.now)
+        opened = rig.taken() + rig.wait(100)
+        assert not of(opened, act.ReleaseCaller)
+        assert all(len(peer.links) <= links + 1 for peer in rig.service.peers.values())
+
+
+def test_a_switch_that_hangs_and_takes_connections_does_not_get_ever_more_of_them(rig):
+    rig.service.links_per_switch = 2
+    for call in range(0x100, 0x100 + 20):
+        opened = rig.offer(call, path="dest:1;width:1;via:-1;transit:1", time_left="2000")
+        for _ in range(30):
+            for action in of(opened, act.OpenLink):
+                rig.service.link_up(action.link, rig.now)
+            opened = rig.taken() + rig.wait(100)
+            assert len(rig.peer(1).links) <= 2
+
+
 def test_a_switch_that_left_ends_its_calls_and_its_address_may_serve_another(rig):
     standing(rig)
     rig.offer(0x12)
