Callers: only the end of a connection counts as one, not any event on its socket

Reason: a system that does not know POLLRDHUP may answer with another event, and every set-up would count as its caller's last.

Change: the events are looked at: RDHUP, HUP or ERR. No behaviour changes where the system knows them.

Measured: tests of the callers passed.

--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -44,6 +44,7 @@
 MAX_LAST_READS = 4  # at one go, so that others get their turn
 FRESH_MS = 35.0  # a set-up that came this shortly before the end crosses it, for which 50 ms are allowed
 IDLE_TIMEOUT_MS = 2000.0
+ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FIRST_READ_PAUSE_S, MAX_READ_PAUSE_S = 0.02, 1.0  # without reading after nonsense, doubling
 
 log = logging.getLogger("dapplehinge.callers")
@@ -489,7 +490,7 @@
         return True
     look = select.poll()
     look.register(stream.socket, select.POLLRDHUP)
-    return bool(look.poll(0))
+    return any(events & ENDED_EVENTS for _, events in look.poll(0))
 
 
 def nothing_unread(stream: IOStream) -> bool:
