--- a/review/kit2.py
+++ b/review/kit2.py
@@ -130,7 +130,7 @@
 
 
 class Switch:
-    """Every set-up stands after `ANSWER_S`, unless its number is engaged; it stands until it is released."""
+    """Every set-up stands after `answer_s`, unless its number is engaged; it stands until it is released."""
 
     def __init__(self, record: Record, place: int, name: str = "") -> None:
         self.record = record
@@ -139,6 +139,7 @@
         self.port = 0
         self.foreign = 0  # circuits of the group that calls from its other end hold
         self.engaged: set[str] = set()
+        self.answer_s = ANSWER_S
         self.links: list[SwitchLink] = []
         self.links_made = 0
         self.trying: dict[int, SwitchLink] = {}
@@ -155,10 +156,10 @@
     def address(self) -> str:
         return f"{HOST}:{self.port}"
 
-    def row(self, state: str = "active") -> dict[str, Any]:
+    def row(self, state: str = "active", started_ms: int = 0) -> dict[str, Any]:
         return {
             "id": self.name, "addr": self.address, "zone": "aralsk", "kind": "std", "cell": self.place,
-            "state": state, "weight": 1, "started_ms": 0,
+            "state": state, "weight": 1, "started_ms": started_ms,
         }  # fmt: skip
 
     async def start(self) -> None:
@@ -196,7 +197,7 @@
             self.trying[call] = link
             self.tell_state()
             number = message.text(isup.Code.NUMBER) or ""
-            asyncio.get_running_loop().call_later(ANSWER_S, self.answer, link, call, number)
+            asyncio.get_running_loop().call_later(self.answer_s, self.answer, link, call, number)
         elif message.type is isup.Type.REL:
             self.note(f"release of {call:016x} came")
             self.trying.pop(call, None)
