Review, case 7: a cold switch is pushed over

Change: a script with three proxies, a switch replaced by a cold one, and refused set-ups of bad clients; the frame starts several proxies; the cases after it have new numbers.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A switch's process dies and starts again; its group is in use from the other end: calls stand for ever."""
+"""A client's 481 to the release of a call that is not his keeps it from the caller that it is owed to."""
 
 from __future__ import annotations
 
@@ -9,48 +9,49 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from kit2 import SLACK_S, Caller, Stage, play  # noqa: E402
+from kit2 import Caller, Stage, play, set_up_fields, sip  # noqa: E402
 
-CALLS = 4
-DOWN_S = 0.5  # discovery takes 0.95 s at least to notice (notice_s)
-BOUND_S = 8.0
-WATCH_S = 25.0
-FOREIGN = 1  # circuits that a call from the group's other end has taken before the proxy's link is up
+IDLE_CLOSE_S = 4.0  # PROTOCOL: after 4 s callers close a connection that carries no call
+AWAY_S = 2.0
+WATCH_S = 15.0
+
+
+class BadClient(Caller):
+    """Names a call that no switch knows, reads whatever it is sent, and knows none of the others' calls."""
+
+    def take(self, message: sip.Message) -> None:
+        self.stage.record.note(f"bad client: got {message.method} {message.status or ''} {message.call_id}")
+        if message.method == "BYE" and not message.status:
+            self.stage.record.note("bad client: 481, no such call")
+            self.transport.write(sip.response(481, message.echo()))
 
 
 async def case(stage: Stage) -> list[str]:
     switch = stage.switches[0]
     caller = await Caller(stage).open()
-    calls = [await stage.stands(caller) for _ in range(CALLS)]
-    await asyncio.sleep(3.0)
-    ended = monotonic()
+    call = await stage.stands(caller)
+    await asyncio.sleep(IDLE_CLOSE_S)
+    caller.close()
     if stage.trouble:
-        switch.die()
-        await asyncio.sleep(DOWN_S)
-        await switch.start()
-        switch.foreign = FOREIGN
-        switch.note("its process is there again")
-    else:
-        for call in calls:
-            switch.release(call)
-    begun = monotonic()
-    while monotonic() - begun < WATCH_S:  # usual traffic goes on
-        if caller.closed:
-            caller = await Caller(stage).open()
-        call = stage.new_call()
-        caller.invite(call, 1)
-        asyncio.get_running_loop().call_later(2.0, switch.release, call)
-        await asyncio.sleep(0.5)
-    broken = []
-    for call in calls:
-        heard = stage.front.byes.get(call)
-        if not heard:
-            broken.append(f"call {call:016x}: cut {monotonic() - ended:.1f} s ago, its caller was never told")
-        elif heard[0] - ended > BOUND_S + SLACK_S:
-            broken.append(f"call {call:016x}: cut, released to its caller {heard[0] - ended:.1f} s later")
-        else:
-            stage.record.say(f"call {call:016x}: released {heard[0] - ended:.2f} s after its end")
-    return broken
+        bad = await BadClient(stage).open()
+        fields = set_up_fields("dest:1;width:1;via:-1;at:s-1", 9000)
+        bad.say("INVITE", 0xBAD, "00000000000000b1", fields, b"nothing")
+        stage.record.note("bad client: INVITE with `at` and an id that no switch knows")
+    await asyncio.sleep(0.5)
+    switch.release(call)
+    await asyncio.sleep(AWAY_S)
+    back = await Caller(stage).open()
+    await stage.stands(back)
+    came = monotonic()
+    end = came + WATCH_S
+    while monotonic() < end and call not in stage.front.byes:
+        await asyncio.sleep(0.1)
+    heard = stage.front.byes.get(call)
+    if heard:
+        stage.record.say(f"call {call:016x}: released {heard[0] - came:+.2f} s from its caller's return")
+        return []
+    ago = monotonic() - switch.released[call]
+    return [f"call {call:016x}: ended by its switch {ago:.1f} s ago, its caller was never told"]
 
 
 play(__file__, case)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A client's 481 to the release of a call that is not his keeps it from the caller that it is owed to."""
+"""A bad client's flood of set-ups with `at` pushes out the releases that are owed to usual callers."""
 
 from __future__ import annotations
 
@@ -9,49 +9,62 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from kit2 import Caller, Stage, play, set_up_fields, sip  # noqa: E402
+from kit2 import SLACK_S, Caller, Stage, play, request, set_up_fields  # noqa: E402
 
 IDLE_CLOSE_S = 4.0  # PROTOCOL: after 4 s callers close a connection that carries no call
-AWAY_S = 2.0
-WATCH_S = 15.0
+CALLS = 3
+SET_UPS = 6000
+AT_ONCE = 200
+BAD_S = 20.0
+WATCH_S = 12.0
 
 
-class BadClient(Caller):
-    """Names a call that no switch knows, reads whatever it is sent, and knows none of the others' calls."""
-
-    def take(self, message: sip.Message) -> None:
-        self.stage.record.note(f"bad client: got {message.method} {message.status or ''} {message.call_id}")
-        if message.method == "BYE" and not message.status:
-            self.stage.record.note("bad client: 481, no such call")
-            self.transport.write(sip.response(481, message.echo()))
+async def bad_client(stage: Stage) -> None:
+    """Names calls that no switch knows, at full speed, and reads whatever it is sent."""
+    reader, writer = await asyncio.open_connection(*stage.listen)
+    fields = set_up_fields("dest:1;width:1;via:-1;at:s-none", 9000)
+    got, end = 0, monotonic() + BAD_S
+    sent = 0
+    while got < SET_UPS and monotonic() < end:
+        while sent < SET_UPS and sent - got < AT_ONCE:
+            sent += 1
+            writer.write(request("INVITE", 0xBAD << 40 | sent, "00000000000000b1", fields, b"nothing"))
+        data = await asyncio.wait_for(reader.read(65536), BAD_S)
+        if not data:
+            break
+        got += data.count(b"BYE sip:")
+    stage.record.note(f"bad client: {sent} set-ups with `at` sent, {got} of them released")
+    writer.close()
 
 
 async def case(stage: Stage) -> list[str]:
     switch = stage.switches[0]
     caller = await Caller(stage).open()
-    call = await stage.stands(caller)
+    calls = [await stage.stands(caller) for _ in range(CALLS)]
     await asyncio.sleep(IDLE_CLOSE_S)
     caller.close()
-    if stage.trouble:
-        bad = await BadClient(stage).open()
-        fields = set_up_fields("dest:1;width:1;via:-1;at:s-1", 9000)
-        bad.say("INVITE", 0xBAD, "00000000000000b1", fields, b"nothing")
-        stage.record.note("bad client: INVITE with `at` and an id that no switch knows")
     await asyncio.sleep(0.5)
-    switch.release(call)
-    await asyncio.sleep(AWAY_S)
+    for call in calls:
+        switch.release(call)
+    await asyncio.sleep(0.5)
+    if stage.trouble:
+        await bad_client(stage)
+    else:
+        await asyncio.sleep(3.0)
     back = await Caller(stage).open()
     await stage.stands(back)
     came = monotonic()
-    end = came + WATCH_S
-    while monotonic() < end and call not in stage.front.byes:
-        await asyncio.sleep(0.1)
-    heard = stage.front.byes.get(call)
-    if heard:
-        stage.record.say(f"call {call:016x}: released {heard[0] - came:+.2f} s from its caller's return")
-        return []
-    ago = monotonic() - switch.released[call]
-    return [f"call {call:016x}: ended by its switch {ago:.1f} s ago, its caller was never told"]
+    await asyncio.sleep(WATCH_S)
+    broken = []
+    for call in calls:
+        heard = stage.front.byes.get(call)
+        if not heard:
+            ago = monotonic() - switch.released[call]
+            broken.append(f"call {call:016x}: ended by its switch {ago:.1f} s ago, its caller was never told")
+        else:
+            stage.record.say(f"call {call:016x}: released {heard[0] - came:+.2f} s from the caller's return")
+    stage.record.note(f"bound: 1 s and {SLACK_S} s from when a caller is there; watched for {WATCH_S} s")
+    return broken
 
 
 play(__file__, case)
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -1,4 +1,4 @@
-"""Stand-ins and the frame of the second review's cases: the real proxy as a process, the rest in the script.
+"""Stand-ins and the frame of the second review's cases: real proxies as processes, the rest in the script.
 
 Switches, control feed and callers follow the operators' pages PROTOCOL and DEPLOY. Every address is a
 loopback address with a free port; the proxy is started by the line `run` of `deploy/balancer.toml`.
@@ -10,14 +10,13 @@
 import contextlib
 import json
 import os
-import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import tomllib
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from time import monotonic, time
 from typing import Any
@@ -33,7 +32,7 @@
 READY_S = 30.0
 SLACK_S = 0.05  # PROTOCOL: every time limit 50 ms longer
 ANSWER_S = 0.03  # of a switch
-CIRCUITS = 20
+CIRCUITS = 120
 
 SETTINGS: dict[str, Any] = {
     "contract": {
@@ -220,7 +219,7 @@
         told = {isup.Code.DESCRIPTION: b"%016x stands at %s" % (call, self.name.encode())}
         link.send(isup.encode(isup.Message(isup.Type.ANM, call, told)))
 
-    def release(self, call: int) -> None:
+    def release(self, call: int, cause: int = isup.Cause.NORMAL) -> None:
         """On the connection of its set-up, otherwise on any open one, and on the next one opened as well."""
         link = self.standing.pop(call, None)
         if link is None:
@@ -229,7 +228,7 @@
         use = link if link in self.links else next(iter(self.links), None)
         self.note(f"releases {call:016x} on connection {use.number if use else 'none: none is open'}")
         if use is not None:
-            use.send(isup.release(call, isup.Cause.NORMAL))
+            use.send(isup.release(call, cause))
         self.to_repeat.append(call)
         self.tell_state()
 
@@ -288,9 +287,10 @@
 
     count = 0
 
-    def __init__(self, stage: Stage, name: str = "") -> None:
+    def __init__(self, stage: Stage, name: str = "", proxy: Proxy | None = None) -> None:
         Caller.count += 1
         self.stage = stage
+        self.proxy = proxy or stage.proxies[0]
         self.name = name or f"caller {Caller.count}"
         self.reader = sip.Reader()
         self.tests: asyncio.Queue[int] = asyncio.Queue()
@@ -299,7 +299,7 @@
         self.sent: list[int] = []
 
     async def open(self) -> Caller:
-        host, port = self.stage.listen
+        host, port = self.proxy.listen
         await asyncio.get_running_loop().create_connection(lambda: self, host, port)
         return self
 
@@ -322,9 +322,15 @@
         self.transport.write(request(method, call, number, fields, body))
 
     def invite(
-        self, call: int, place: int = 1, number: str = "00000000000000a1", left: int = 9000, at: str = ""
+        self,
+        call: int,
+        place: int = 1,
+        number: str = "00000000000000a1",
+        left: int = 9000,
+        at: str = "",
+        more: str = "",
     ) -> None:
-        path = f"dest:{place};width:1;via:-1" + (f";at:{at}" if at else "")
+        path = f"dest:{place};width:1;via:-1" + (f";at:{at}" if at else "") + more
         self.stage.record.note(f"{self.name}: INVITE {call:016x} {path}")
         if not at:
             self.stage.front.sent[call] = monotonic()
@@ -369,19 +375,41 @@
     return f"P-Kind: lot-price\r\nP-Billed: aralsk-coop\r\nP-Time-Left: {left}\r\nP-Path: {path}\r\n"
 
 
+class Proxy:
+    """The proxy of one exchange, a process of its own."""
+
+    def __init__(self, exchange: int) -> None:
+        self.exchange = exchange
+        self.listen = (HOST, free_port())
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def name(self) -> str:
+        return f"n{self.exchange}"
+
+    @property
+    def lives(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+
 class Stage:
-    """Switches at the exchanges 1 to `places`, a feed and one proxy, that of exchange 0."""
+    """Switches at the exchanges `places`, a feed and the proxies of `exchanges`."""
 
-    def __init__(self, folder: Path, temporary: Path, places: int = 3) -> None:
+    def __init__(
+        self, folder: Path, temporary: Path, places: Sequence[int], exchanges: Sequence[int]
+    ) -> None:
         self.temporary = temporary
         self.record = Record(folder)
         self.front = Front()
-        self.switches = [Switch(self.record, place) for place in range(1, places + 1)]
+        self.switches = [Switch(self.record, place) for place in places]
         self.feed = Feed(self.record)
-        self.listen = (HOST, free_port())
-        self.process: subprocess.Popen[bytes] | None = None
+        self.proxies = [Proxy(exchange) for exchange in exchanges]
         self._calls = int(time()) << 24
 
+    @property
+    def listen(self) -> tuple[str, int]:
+        return self.proxies[0].listen
+
     @property
     def trouble(self) -> bool:
         return os.environ.get("TROUBLE", "1") != "0"
@@ -394,64 +422,69 @@
         for part in (*self.switches, self.feed):
             await part.start()
         self.feed.publish(*[switch.row() for switch in self.switches])
-        self.start_proxy()
-        await self.ready()
-
-    def start_proxy(self) -> None:
-        file = self.temporary / "config.json"
-        listen = f"{self.listen[0]}:{self.listen[1]}"
+        for proxy in self.proxies:
+            self.start_proxy(proxy)
+        for proxy in self.proxies:
+            await self.ready(proxy)
+
+    def start_proxy(self, proxy: Proxy) -> None:
+        file = self.temporary / f"{proxy.name}.json"
+        listen = f"{proxy.listen[0]}:{proxy.listen[1]}"
+        settings = SETTINGS | {"position": proxy.exchange}
+        settings["family_info"] = SETTINGS["family_info"] | {"own_number": proxy.exchange}
         file.write_text(
             json.dumps(
                 {
-                    "name": "n0",
+                    "name": proxy.name,
                     "listen": listen,
                     "seed": "8c1f30d27a5be964",
                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
                     "feed": self.feed.address,
                     "known": self.feed.known,
-                    "settings": SETTINGS,
+                    "settings": settings,
                 }
             )
         )
         kept = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER_")}
-        told = {"BALANCER_NAME": "n0", "BALANCER_LISTEN": listen, "BALANCER_CONFIG": str(file)}
+        told = {"BALANCER_NAME": proxy.name, "BALANCER_LISTEN": listen, "BALANCER_CONFIG": str(file)}
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        with (self.temporary / "proxy.log").open("ab") as log:
-            self.process = subprocess.Popen(
+        with (self.temporary / f"{proxy.name}.log").open("ab") as log:
+            proxy.process = subprocess.Popen(
                 ["/bin/sh", "-c", run], cwd=ROOT, env=kept | told, stdout=log, stderr=log
             )
-        self.record.note(f"proxy: started, process {self.process.pid}")
+        self.record.note(f"proxy {proxy.name}: started, process {proxy.process.pid}")
 
-    async def ready(self) -> None:
+    async def ready(self, proxy: Proxy) -> None:
         """The front's test, until it passes."""
         end = monotonic() + READY_S
         while monotonic() < end:
-            if self.process is None or self.process.poll() is not None:
-                raise CannotRunError("the proxy has ended")
+            if not proxy.lives:
+                raise CannotRunError(f"the proxy {proxy.name} has ended")
             with contextlib.suppress(OSError, asyncio.TimeoutError):
-                caller = await Caller(self, "front").open()
+                caller = await Caller(self, "front", proxy).open()
                 caller.options()
                 status = await asyncio.wait_for(caller.tests.get(), 2.0)
                 caller.close()
                 if status == 200 and all(switch.links for switch in self.switches):
-                    self.record.note("proxy: a test has passed")
+                    self.record.note(f"proxy {proxy.name}: a test has passed")
                     return
             await asyncio.sleep(0.05)
-        raise CannotRunError("the proxy was not ready in time")
+        raise CannotRunError(f"the proxy {proxy.name} was not ready in time")
 
-    def kill_proxy(self) -> None:
-        assert self.process is not None
-        self.process.send_signal(signal.SIGKILL)
-        self.process.wait()
-        self.record.note("proxy: killed")
+    def kill_proxy(self, proxy: Proxy) -> None:
+        assert proxy.process is not None
+        proxy.process.kill()
+        proxy.process.wait()
+        self.record.note(f"proxy {proxy.name}: killed")
 
     def stop(self) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
-        log = self.temporary / "proxy.log"
-        if log.exists():
-            self.record.file.write("log of the proxy:\n" + log.read_text(errors="replace"))
+        for proxy in self.proxies:
+            if proxy.process is not None and proxy.lives:
+                proxy.process.kill()
+                proxy.process.wait()
+            log = self.temporary / f"{proxy.name}.log"
+            if log.exists():
+                self.record.file.write(f"log of {proxy.name}:\n" + log.read_text(errors="replace"))
         self.record.file.close()
 
     async def stands(self, caller: Caller, place: int = 1) -> int:
@@ -473,19 +506,21 @@
         return int(sock.getsockname()[1])
 
 
-def play(file: str, case: Callable[[Stage], Awaitable[list[str]]], places: int = 3) -> None:
+def play(
+    file: str,
+    case: Callable[[Stage], Awaitable[list[str]]],
+    places: Sequence[int] = (1, 2, 3),
+    exchanges: Sequence[int] = (0,),
+) -> None:
     """Play a case: it gives a line for each time that the rule was broken. Exits with 0, 1 or 2."""
-    folder = Path(file).resolve().parent
 
     async def whole(stage: Stage) -> list[str]:
         await stage.start()
         broken = await case(stage)
-        if stage.process is None or stage.process.poll() is not None:
-            broken.append("the proxy has ended")
-        return broken
+        return broken + [f"the proxy {proxy.name} has ended" for proxy in stage.proxies if not proxy.lives]
 
     with tempfile.TemporaryDirectory() as temporary:
-        stage = Stage(folder, Path(temporary), places)
+        stage = Stage(Path(file).resolve().parent, Path(temporary), places, exchanges)
         code = 2
         try:
             broken = asyncio.run(asyncio.wait_for(whole(stage), LIMIT_S))
