--- a/tests/test_ladder.py
+++ b/tests/test_ladder.py
@@ -242,3 +242,10 @@
         assert proxy.offer(0)[0] == api.Refuse(1, span)  # the class's target is 2,000 ms
         transit = proxy.offer(0, in_transit=True)
         assert transit[0] == api.Refuse(2, 0.0)  # the proxy that sent it on has other ways
+
+
+def test_set_ups_with_hardly_any_time_left_do_not_shut_a_rung_for_others(proxy):
+    for _ in range(20):
+        assert sent(proxy.offer(1, budget=60.0)) == [1]
+        proxy.wait(60.0)
+    assert sent(proxy.offer(1)) == [1]
