Releases: only the call's own connection can receive one; others get copies

Cause: any response to a BYE counted as its receipt, on any connection and with any status; and to be told on a connection on which another call stood counted for certain.

Change: a 200 on the connection that the call was set up on is the receipt. Copies are bounded, first ones are not. A client that names a call by `at` no longer takes over the release of one that was set up here, nor the answer of one that is trying. A release that nobody but a client vouches for is marked and comes last.

Tests changed: those that took "told on a connection with some call that stands" and "200 on any connection" for certain asserted the fault. In their place: what is told on the own connection is told once and ends by its receipt, what is told elsewhere goes on, bounded per tick, until each connection has it.

--- a/dapplehinge/platform/actions.py
+++ b/dapplehinge/platform/actions.py
@@ -26,6 +26,7 @@
     id: int
     number: str
     cause: int
+    confirmed: bool = True  # a switch has answered or released it; else only a caller says that it stood
 
 
 @dataclass(frozen=True, slots=True)
--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -555,7 +555,7 @@
             return
         if call.stands_at is peer:
             over = api.Outcome.COMPLETED if cause == Cause.NORMAL else api.Outcome.CUT
-            self._over(call, cause, over, report)
+            self._over(call, cause, over, report, by_switch=True)
         elif call.out is not None and call.out.link == link:
             outcome = OUTCOMES.get(cause, api.Outcome.CUT)
             self._end_attempt(call, outcome, NOTES.get(note, api.Cause.NONE), report, told=True)
@@ -640,14 +640,13 @@
     def _stands_already(self, conn: int, offer: Offer, known: Call | None) -> Admission:
         peer = self.by_id.get(offer.standing_at)
         if known is not None:
-            if known.stands_at is peer:
-                known.conn = conn
-                if known.id in self.restored:
-                    self.restored.add(known, conn)
+            if known.id in self.restored and known.stands_at is peer:
+                known.conn = conn  # of a call that was set up here its own connection is known
+                self.restored.add(known, conn)
             return Admission.TAKEN
         if peer is None:  # its switch has left
             self.actions.append(
-                act.ReleaseCaller(conn, offer.id, offer.number, Cause.TEMPORARY_FAILURE)
+                act.ReleaseCaller(conn, offer.id, offer.number, Cause.TEMPORARY_FAILURE, confirmed=False)
             )
             return Admission.TAKEN
         release = self.unclaimed.pop(offer.id, None)
@@ -737,7 +736,13 @@
                 del self.conns[call.conn]
 
     def _over(
-        self, call: Call, cause: int, outcome: api.Outcome, report: Report, by_caller: bool = False
+        self,
+        call: Call,
+        cause: int,
+        outcome: api.Outcome,
+        report: Report,
+        by_caller: bool = False,
+        by_switch: bool = False,
     ) -> None:
         """A standing call has ended."""
         peer = call.stands_at
@@ -749,7 +754,8 @@
         if by_caller:
             self._release(peer, 0, call.id, cause)
         else:
-            self.actions.append(act.ReleaseCaller(call.conn, call.id, call.dialled, cause))
+            confirmed = call.attempts > 0 or by_switch
+            self.actions.append(act.ReleaseCaller(call.conn, call.id, call.dialled, cause, confirmed))
         if call.attempts:
             self._events.append(
                 api.AttemptEnded(
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -413,8 +413,8 @@
     def _take(self, caller: Caller, message: sip.Message, now: float) -> bool:
         """False: it made no sense."""
         if message.status:
-            if message.method == "BYE" and ID.match(message.call_id):
-                self.releases.received(int(message.call_id, 16))
+            if message.method == "BYE" and message.status // 100 == 2 and ID.match(message.call_id):
+                self.releases.received(int(message.call_id, 16), caller.number)
             return True
         match message.method:
             case "INVITE":
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -3,9 +3,10 @@
 import asyncio
 import socket
 
+import pytest
+
 from dapplehinge.platform.actions import ReleaseCaller, Respond, SendSetUp
 from dapplehinge.platform.memory import MemoryBudget
-from dapplehinge.platform.releases import Trust
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose, Shed
 from dapplehinge.proxy.platform.callers import (
@@ -92,10 +93,6 @@
     played(scenario)
 
 
-def used(callers, trust):
-    return callers.releases._by_trust[trust]
-
-
 def test_a_release_reaches_callers_who_closed_a_resting_connection_and_use_another():
     async def scenario(rig, callers, addr):
         first, writer = await asyncio.open_connection(*addr)
@@ -108,7 +105,7 @@
         await until(lambda: len(callers.conns) == 1)
         [bye] = of(rig.released(0x11), ReleaseCaller)
         callers.release(bye)
-        assert not used(callers, Trust.OFFERED) and len(callers.releases) == 1  # nobody is there who calls
+        assert not callers.releases.caller_connections and len(callers.releases) == 1  # nobody calls
         again, third = await asyncio.open_connection(*addr)
         third.write(said(0x13))
         assert b"BYE sip:" in await again.read(1000)
@@ -116,8 +113,6 @@
         last, fourth = await asyncio.open_connection(*addr)
         fourth.write(said(0x14))
         assert b"BYE sip:" in await last.read(1000)
-        fourth.write(response(200, b"Call-ID: %016x\r\nCSeq: 2 BYE\r\n" % 0x11))
-        await until(lambda: not len(callers.releases))
         assert b"BYE sip:" not in await stranger.read(1000)
         for each in (other, third, fourth):
             each.close()
@@ -125,6 +120,39 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("status", [200, 481])
+@pytest.mark.parametrize("stands", [False, True])
+def test_a_stranger_who_answers_a_release_does_not_keep_it_from_its_caller(status, stands):
+    async def scenario(rig, callers, addr):
+        first, writer = await asyncio.open_connection(*addr)
+        writer.write(said(0x11))
+        await until(lambda: 0x11 in rig.service.calls)
+        [ok] = of(rig.answered(0x11), Respond)
+        callers.respond(ok)
+        writer.close()
+        await until(lambda: not callers.conns)
+        stranger, other = await asyncio.open_connection(*addr)
+        other.write(said(0x12) if stands else said(0x12, "at:s-1"))
+        await until(lambda: callers.releases.caller_connections)
+        if stands:
+            [ok] = of(rig.answered(0x12), Respond)
+            callers.respond(ok)
+            await stranger.read(1000)
+        [bye] = of(rig.released(0x11), ReleaseCaller)
+        callers.release(bye)
+        assert b"BYE sip:" in await stranger.read(1000)
+        other.write(response(status, b"Call-ID: %016x\r\nCSeq: 2 BYE\r\n" % 0x11))
+        other.write(said(0x13, "dest:x"))
+        await stranger.read(1000)  # the answer to what came after it
+        back, again = await asyncio.open_connection(*addr)
+        again.write(said(0x14))
+        assert b"Call-ID: %016x" % 0x11 in await back.read(1000)
+        other.close()
+        again.close()
+
+    played(scenario)
+
+
 def test_a_connection_that_was_just_made_is_not_ended_before_its_set_up_can_come():
     async def scenario(rig, callers, addr):
         _, writer = await asyncio.open_connection(*addr)
@@ -241,14 +269,14 @@
     async def scenario(rig, callers, addr):
         ended, first = await asyncio.open_connection(*addr)
         first.write(said(0x11, "at:s-1"))
-        await until(lambda: used(callers, Trust.OFFERED))
+        await until(lambda: callers.releases.caller_connections)
         rig.now += CROSSING_MS
         callers.finish_idle()
         [caller] = callers.conns.values()
         assert caller.finishing
         other, second = await asyncio.open_connection(*addr)
         second.write(said(0x12, "at:s-1"))
-        await until(lambda: used(callers, Trust.OFFERED))
+        await until(lambda: callers.releases.caller_connections)
         [bye] = of(rig.released(0x11), ReleaseCaller)
         callers.release(bye)
         assert b"BYE sip:" in await other.read(1000) and await ended.read() == b""
--- a/tests/test_platform_releases.py
+++ b/tests/test_platform_releases.py
@@ -1,11 +1,14 @@
 """Releases owed to callers, without sockets: where each goes, and when it goes again."""
 
+from dataclasses import replace
+
 import pytest
 
 from dapplehinge.platform.actions import ReleaseCaller
 from dapplehinge.platform.releases import (
+    MAX_COPIES,
+    MAX_LATE_COPIES,
     MAX_RELEASES,
-    MAX_UNCERTAIN_COPIES,
     TOLD_KEPT_MS,
     UNTOLD_KEPT_MS,
     CallerReleases,
@@ -14,6 +17,7 @@
 )
 
 OWN = 1
+TICK_MS = 250.0
 
 
 def bye(call=0x11, conn=OWN):
@@ -32,12 +36,17 @@
     return [send.connection for send in sends]
 
 
+def ids(sends):
+    return [send.release.id for send in sends]
+
+
 def test_on_its_own_connection_once_and_again_only_if_that_closes_soon(releases):
     releases.trusted(5, Trust.ANSWERED)
     assert releases.add(bye(), 0.0) == [Send(OWN, bye())]
-    assert releases.tick(250.0) == []
-    assert sent(releases.ended(OWN)) == [5]
-    assert releases.tick(TOLD_KEPT_MS) == [] and not len(releases)
+    assert releases.tick(TICK_MS) == [] == releases.trusted(6, Trust.ANSWERED)
+    assert sent(releases.ended(OWN)) == [6]
+    assert sent(releases.tick(2 * TICK_MS)) == [5]
+    assert releases.tick(UNTOLD_KEPT_MS) == [] and not len(releases)
     assert releases.ended(5) == []
 
 
@@ -45,7 +54,7 @@
     releases.trusted(5, Trust.ANSWERED)
     releases.add(bye(), 0.0)
     releases.tick(TOLD_KEPT_MS)
-    assert releases.ended(OWN) == []
+    assert releases.ended(OWN) == [] and not len(releases)
 
 
 def test_what_a_bad_client_may_have_taken_is_told_on_further_connections(releases):
@@ -53,35 +62,82 @@
     releases.trusted(3, Trust.OFFERED)
     releases.trusted(4, Trust.OFFERED)
     assert sent(releases.add(bye(), 0.0)) == [4]
-    assert sent(releases.tick(250.0)) == [3]
+    assert sent(releases.tick(TICK_MS)) == [3]
     assert sent(releases.trusted(6, Trust.OFFERED)) == [6]
     assert sent(releases.trusted(6, Trust.ANSWERED)) == []
     assert sent(releases.trusted(7, Trust.ANSWERED)) == [7]
-    assert releases.tick(500.0) == [] == releases.trusted(8, Trust.ANSWERED)
+    assert releases.tick(2 * TICK_MS) == []
+    assert sent(releases.trusted(8, Trust.OFFERED)) == [8]
 
 
-def test_many_connections_that_merely_offer_calls_get_a_few_copies_and_a_caller_gets_his(releases):
+@pytest.mark.parametrize("trust", list(Trust))
+def test_receipts_on_others_connections_do_not_keep_a_release_from_its_caller(releases, trust):
     releases.ended(OWN)
+    for stranger in range(2, 9):
+        releases.trusted(stranger, trust)
+    told = sent(releases.add(bye(), 0.0))
+    for tick in range(1, 20):
+        for stranger in told:
+            releases.received(0x11, stranger)
+        told = sent(releases.tick(tick * TICK_MS))
+    assert sent(releases.trusted(9, Trust.OFFERED)) == [9]
+
+
+def test_a_receipt_from_a_connection_on_which_nothing_was_told_ends_nothing(releases):
     releases.add(bye(), 0.0)
-    copies = []
-    for connection in range(2, 9):
-        copies += sent(releases.trusted(connection, Trust.OFFERED)) + sent(releases.tick(250.0))
-    assert len(copies) == MAX_UNCERTAIN_COPIES
-    assert sent(releases.trusted(9, Trust.ANSWERED)) == [9]
+    releases.received(0x11, 5)
+    releases.trusted(6, Trust.ANSWERED)
+    assert sent(releases.ended(OWN)) == [6]
 
 
-def test_a_release_is_received_or_forgotten_in_the_end(releases):
-    releases.ended(OWN)
+def test_its_own_connection_s_receipt_ends_it(releases):
+    releases.trusted(5, Trust.ANSWERED)
     releases.add(bye(), 0.0)
-    assert sent(releases.trusted(3, Trust.OFFERED)) == [3]
-    releases.received(0x11)
-    assert releases.trusted(4, Trust.OFFERED) == [] == releases.ended(3)
-    releases.ended(4)
+    releases.received(0x11, OWN)
+    assert not len(releases) and releases.ended(OWN) == []
+
+
+def test_a_release_that_nobody_receives_is_forgotten_in_the_end(releases):
+    releases.ended(OWN)
     releases.add(bye(0x12), 0.0)
     releases.tick(UNTOLD_KEPT_MS)
     assert not len(releases) and releases.trusted(5, Trust.ANSWERED) == []
 
 
+def test_copies_on_connections_that_come_at_once_are_bounded_and_each_gets_its_own_in_the_end():
+    releases = CallerReleases()
+    releases.connected(OWN)
+    releases.trusted(OWN, Trust.ANSWERED)
+    releases.ended(OWN)
+    releases.add(bye(), 0.0)
+    others = range(2, 2 + 10 * MAX_COPIES)
+    told = []
+    for connection in others:
+        releases.connected(connection)
+        told += sent(releases.trusted(connection, Trust.OFFERED))
+    assert len(told) <= 1 + MAX_COPIES
+    for tick in range(1, 12):
+        more = sent(releases.tick(tick * TICK_MS))
+        assert len(more) <= MAX_COPIES
+        told += more
+    assert sorted(told) == list(others)
+
+
+def test_received_releases_go_on_to_others_a_few_at_a_time_and_all_in_turn(releases):
+    releases.ended(OWN)
+    releases.trusted(3, Trust.ANSWERED)
+    for call in range(50):
+        releases.add(bye(call), 0.0)
+        releases.received(call, 3)
+    assert ids(releases.trusted(4, Trust.ANSWERED)) == list(range(MAX_LATE_COPIES))
+    told = []
+    for tick in range(1, 8):
+        more = releases.tick(tick * TICK_MS)
+        assert len(more) <= MAX_LATE_COPIES
+        told += ids(more)
+    assert sorted(told) == list(range(MAX_LATE_COPIES, 50))
+
+
 def test_releases_that_nobody_can_be_told_do_not_fill_the_memory(releases):
     releases.ended(OWN)
     for call in range(MAX_RELEASES + 100):
@@ -90,6 +146,16 @@
     assert len(releases.trusted(3, Trust.ANSWERED)) == MAX_RELEASES
 
 
+def test_one_client_s_invented_calls_are_not_told_before_what_is_owed_to_others(releases):
+    for call in range(0x1000, 0x1400):
+        releases.add(replace(bye(call, 2), confirmed=False), 0.0)
+    releases.ended(2)
+    releases.ended(OWN)
+    releases.add(bye(), 0.0)
+    told = ids(releases.trusted(3, Trust.ANSWERED))
+    assert told[0] == 0x11 and len(told) <= 1 + MAX_LATE_COPIES
+
+
 def test_nothing_is_written_to_a_connection_that_was_told_its_end(releases):
     releases.finishing(OWN)
     assert releases.add(bye(), 0.0) == [] == releases.trusted(OWN, Trust.ANSWERED)
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -605,3 +605,28 @@
     for call in (0x31, 0x32):
         assert rig.service.offered(4, rig.offers.read(invite(call, path="at:s-1")), b"", rig.now)
     assert not of(rig.taken(), act.ReleaseCaller) and len(rig.peer(1).standing) == 2
+
+
+def test_another_client_that_names_a_call_does_not_get_its_release_in_place_of_its_caller(rig):
+    standing(rig, conn=1)
+    rig.offer(conn=2, path="at:s-1")
+    [bye] = of(rig.released(), act.ReleaseCaller)
+    assert bye.conn == 1
+
+
+def test_a_client_that_names_a_trying_call_at_no_switch_does_not_get_its_answer(rig):
+    rig.offer(conn=1)
+    rig.offer(conn=2, path="at:s-none")
+    [answer] = of(rig.answered(), act.Respond)
+    assert answer.conn == 1
+
+
+def test_releases_of_calls_that_only_callers_vouch_for_are_marked(rig):
+    [bye] = of(rig.offer(0x21, path="at:s-none"), act.ReleaseCaller)
+    assert not bye.confirmed
+    rig.offer(0x22, path="at:s-1")
+    [bye] = of(rig.released(0x22), act.ReleaseCaller)
+    assert bye.confirmed
+    rig.offer(0x23, path="at:s-1")
+    [bye] = of(rig.list(row(1, "left")), act.ReleaseCaller)
+    assert not bye.confirmed
--- /dev/null
+++ b/tests/test_platform_shares.py
@@ -0,0 +1,43 @@
+"""Who gives way in a bounded table that anyone may fill."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dapplehinge.platform.shares import Shares
+
+
+def test_the_newest_key_of_the_holder_with_the_most_gives_way():
+    shares: Shares[int] = Shares()
+    shares.add("usual", 1)
+    for key in (10, 11, 12):
+        shares.add("flood", key)
+    assert shares.newest_of_largest() == 12
+    shares.remove(12)
+    shares.remove(11)
+    shares.add("usual", 10)
+    assert shares.newest_of_largest() == 10 and len(shares) == 2
+
+
+def test_of_holders_with_the_same_share_the_last_one_gives_way():
+    shares: Shares[int] = Shares()
+    for holder in range(5):
+        shares.add(holder, holder)
+    assert shares.newest_of_largest() == 4
+
+
+@settings(derandomize=True, database=None, deadline=None)
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 3), st.integers(0, 9))))
+def test_the_largest_share_is_known_after_any_changes(steps):
+    shares: Shares[int] = Shares()
+    holders: dict[int, int] = {}
+    for adds, holder, key in steps:
+        if adds:
+            shares.add(holder, key)
+            holders[key] = holder
+        else:
+            shares.remove(key)
+            holders.pop(key, None)
+        sizes = [list(holders.values()).count(each) for each in range(4)]
+        given_up = shares.newest_of_largest()
+        assert len(shares) == len(holders) and (given_up is None) == (not holders)
+        assert given_up is None or sizes[holders[given_up]] == max(sizes)
