Tables: the connection that fills one gives way, not whoever waits longest

Cause: of more than 4,096 releases the oldest was dropped, though the new ones owed nothing.

Change: platform/shares.py keeps entries by holder; the newest of the holder with the most gives way, in the table of releases what owes least first. The same for releases kept for a switch or not confirmed by it, ids that went out, releases of unknown calls (which leave out calls that this process set up itself), and calls brought back, where the search was linear. Of open set-ups the oldest one went first, whoever's: now the oldest of the connection that holds most.

--- a/dapplehinge/platform/releases.py
+++ b/dapplehinge/platform/releases.py
@@ -325,6 +325,9 @@
                 del self._told[connection]
 
     def _bound(self) -> None:
-        """The oldest goes first."""
+        """What needs its place least gives way, and there the newest of the connection that has the most."""
         while len(self._owed) > MAX_RELEASES:
-            self._drop(next(iter(self._owed)))
+            needless = next(self._shares[need] for need in Need if len(self._shares[need]))
+            call_id = needless.newest_of_largest()
+            assert call_id is not None
+            self._drop(call_id)
--- a/dapplehinge/platform/restored.py
+++ b/dapplehinge/platform/restored.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from collections import Counter
-
+from dapplehinge.interface import SwitchId
+from dapplehinge.platform.shares import Shares
 from dapplehinge.platform.table import Call, Peer
 
 MAX_RESTORED_CALLS = 4096
@@ -25,50 +25,52 @@
     """The calls that were brought back, by the connection from callers that named them last."""
 
     def __init__(self) -> None:
-        self._by_holder: dict[int, dict[int, Call]] = {}
-        self._holder: dict[int, int] = {}  # call id -> connection
+        self._calls: dict[int, Call] = {}
+        self._all: Shares[int] = Shares()
+        self._at_switch: dict[SwitchId, Shares[int]] = {}
+        self._switch: dict[int, SwitchId] = {}  # call id -> where it counts
 
     def __len__(self) -> int:
-        return len(self._holder)
+        return len(self._calls)
 
     def __contains__(self, call_id: int) -> bool:
-        return call_id in self._holder
+        return call_id in self._calls
 
-    def add(self, call: Call, connection: int) -> None:
-        """Take a call, or note that another connection names it now."""
+    def add(self, call: Call, peer: Peer, connection: int) -> None:
+        """Take a call that stands there, or note that another connection names it now."""
         self.remove(call.id)
-        self._holder[call.id] = connection
-        self._by_holder.setdefault(connection, {})[call.id] = call
+        self._calls[call.id] = call
+        self._switch[call.id] = peer.number
+        self._all.add(connection, call.id)
+        self._at_switch.setdefault(peer.number, Shares()).add(connection, call.id)
+
+    def moved(self, call: Call, peer: Peer) -> None:
+        """If it is among them, it stands at another switch now."""
+        connection = self._all.holder(call.id)
+        if connection is not None:
+            self.add(call, peer, connection)
 
     def remove(self, call_id: int) -> None:
-        holder = self._holder.pop(call_id, None)
-        if holder is None:
+        if self._calls.pop(call_id, None) is None:
             return
-        calls = self._by_holder[holder]
-        del calls[call_id]
-        if not calls:
-            del self._by_holder[holder]
+        self._all.remove(call_id)
+        switch = self._switch.pop(call_id)
+        self._at_switch[switch].remove(call_id)
+        if not len(self._at_switch[switch]):
+            del self._at_switch[switch]
 
     def connection_closed(self, connection: int) -> None:
         """Its calls stand on; those of all closed connections count as one connection's."""
-        calls = self._by_holder.pop(connection, None)
-        if calls is not None:
-            self._by_holder.setdefault(NO_CONNECTION, {}).update(calls)
-            self._holder.update(dict.fromkeys(calls, NO_CONNECTION))
+        self._all.move(connection, NO_CONNECTION)
+        for shares in self._at_switch.values():
+            shares.move(connection, NO_CONNECTION)
 
     def surplus(self, peer: Peer) -> Call | None:
         """The call to give up where there is no room for all, looking at the ones at `peer` first."""
+        call_id = None
         if peer.circuits and len(peer.standing) > CALLS_PER_CIRCUIT * peer.circuits:
-            return self._newest_of_largest(peer)
-        if len(self._holder) > MAX_RESTORED_CALLS:
-            largest = max(self._by_holder.values(), key=len)
-            return next(reversed(largest.values()))
-        return None
-
-    def _newest_of_largest(self, peer: Peer) -> Call | None:
-        at_peer = [call_id for call_id in peer.standing if call_id in self._holder]
-        if not at_peer:
-            return None
-        holder, _ = Counter(self._holder[call_id] for call_id in at_peer).most_common(1)[0]
-        calls = self._by_holder[holder]
-        return next(call for call in reversed(calls.values()) if call.stands_at is peer)
+            at_switch = self._at_switch.get(peer.number)
+            call_id = at_switch.newest_of_largest() if at_switch is not None else None
+        elif len(self._calls) > MAX_RESTORED_CALLS:
+            call_id = self._all.newest_of_largest()
+        return None if call_id is None else self._calls[call_id]
--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -36,16 +36,11 @@
 from dapplehinge.platform.reports import NOTES, OUTCOMES, Report
 from dapplehinge.platform.restored import RestoredCalls
 from dapplehinge.platform.settings import Facts, settings_from
-from dapplehinge.platform.table import (
-    MAX_KEPT_RELEASES,
-    MAX_UNCONFIRMED_RELEASES,
-    Attempt,
-    Call,
-    Link,
-    Peer,
-    UnclaimedRelease,
-)
+from dapplehinge.platform.shares import Shares
+from dapplehinge.platform.switch_releases import SwitchRelease
+from dapplehinge.platform.table import Attempt, Call, Link, Peer
 from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Shed, Step
+from dapplehinge.platform.unclaimed import UnclaimedRelease, UnclaimedReleases
 from dapplehinge.rules import Controller
 
 GUARD_MARGIN_MS = 50.0
@@ -74,10 +69,6 @@
 LATE_LOOK_MS = 20.0
 """After which a look at a link counts as late: the loop was busy, and something may wait to be read."""
 
-RELEASE_KEPT_MS = 8000.0
-"""For which a release of an unknown call is remembered: after a restart callers bring back the calls that
-stand, while their switches go on releasing them."""
-
 MIN_PRUNED_TIMERS = 2000
 """Below this many timers those of ended attempts stay until they fall due."""
 
@@ -117,7 +108,7 @@
         self.interlock = Interlock(settings.guard, 0.0, GUARD_MARGIN_MS)
         self.calls: dict[int, Call] = {}  # by id, trying and standing
         self.in_flight: dict[int, Call] = {}  # by the module's number
-        self.open_bytes = 0  # held for the calls in flight
+        self.open_bytes: Shares[int] = Shares()  # held for the calls in flight: by their connection
         self.max_open_bytes: float = inf
         self.conns: dict[int, set[int]] = {}  # connection -> ids of the calls trying on it
         self.peers: dict[api.SwitchId, Peer] = {}
@@ -129,7 +120,7 @@
         self.links_per_switch = MAX_LINKS
         self.restored = RestoredCalls()
         self.recent = RecentIds()
-        self.unclaimed: dict[int, UnclaimedRelease] = {}  # by call id, the oldest first
+        self.unclaimed = UnclaimedReleases()
         self.answer_by = inf  # ms at which a shutdown ends all calls
         self.now = self.began = 0.0
         self._calls_made = 0
@@ -275,14 +266,15 @@
             if self.by_id.get(peer.id) is peer:
                 del self.by_id[peer.id]
             for id_ in sorted(peer.standing):  # in case that a process is there all the same
-                if self.calls[id_].link in peer.links:
-                    self._send_release(peer, self.calls[id_].link, id_, Cause.TEMPORARY_FAILURE)
+                call = self.calls[id_]
+                if call.link in peer.links:
+                    self._send_release(peer, call.link, id_, Cause.TEMPORARY_FAILURE, call.conn)
             for link in [*peer.links, *([peer.opening] if peer.opening else [])]:
                 self._drop_link(peer, link)
                 self.metrics.link_closes[LinkClose.SWITCH_GONE] += 1
                 self.actions.append(act.CloseLink(link))
             self._cut_standing(peer)
-            peer.releases.clear()
+            peer.releases.take_all()
 
     def _take_over(self, successor: Peer) -> None:
         """A new switch at the address of another: what came up after its start leads to it."""
@@ -304,6 +296,7 @@
                     former.standing.discard(id_)
                     successor.standing.add(id_)
                     call.stands_at = successor
+                    self.restored.moved(call, successor)
             for call in list(former.wanting.values()):
                 self._end_attempt(call, api.Outcome.UNREACHABLE)
             self._end_process(former, self.now)
@@ -419,7 +412,9 @@
         for id_ in sorted(gone.out):
             self._end_attempt(self.calls[id_], api.Outcome.CUT)
         recent = self.now - UNCONFIRMED_KEPT_MS
-        peer.releases.extend((id_, cause) for id_, (cause, at) in gone.releases.items() if at >= recent)
+        for release in gone.releases:
+            if release.at >= recent:
+                peer.releases.add(release)
 
     def _link(self, peer: Peer) -> int:
         """The link for what goes out now; 0 where none is up that can be trusted."""
@@ -481,31 +476,31 @@
             if peer.links:
                 self._try_another(peer)
             if peer.standing and self.now - peer.last_heard >= SILENT_AFTER_MS:
-                peer.releases.extend((id_, Cause.TEMPORARY_FAILURE) for id_ in sorted(peer.standing))
+                for id_ in sorted(peer.standing):
+                    self._keep_release(peer, id_, Cause.TEMPORARY_FAILURE, self.calls[id_].conn)
                 self._cut_standing(peer)
 
-    def _release(self, peer: Peer, link: int, id_: int, cause: int) -> None:
+    def _release(self, peer: Peer, link: int, call: Call, cause: int) -> None:
         """To the link of its set-up, else any, else the next one that is made."""
         use = link if link in peer.links else self._link(peer) or max(peer.links, default=0)
         if use:
-            self._send_release(peer, use, id_, cause)
+            self._send_release(peer, use, call.id, cause, call.conn)
         else:
-            peer.releases.append((id_, cause))
+            self._keep_release(peer, call.id, cause, call.conn)
 
-    def _send_release(self, peer: Peer, link: int, id_: int, cause: int) -> None:
-        unconfirmed = peer.links[link].releases
-        unconfirmed[id_] = cause, self.now
-        if len(unconfirmed) > MAX_UNCONFIRMED_RELEASES:
-            del unconfirmed[next(iter(unconfirmed))]
+    def _keep_release(self, peer: Peer, id_: int, cause: int, holder: int) -> None:
+        peer.releases.add(SwitchRelease(id_, cause, holder, self.now))
+
+    def _send_release(self, peer: Peer, link: int, id_: int, cause: int, holder: int = 0) -> None:
+        peer.links[link].releases.add(SwitchRelease(id_, cause, holder, self.now))
         self.actions.append(act.SendRelease(link, id_, cause))
 
     def _send_kept_releases(self, peer: Peer, link: int) -> None:
         """What could not be written, or not be seen to arrive; but not what would end a later attempt."""
-        while peer.releases:
-            id_, cause = peer.releases.popleft()
-            call = self.calls.get(id_)
+        for release in peer.releases.take_all():
+            call = self.calls.get(release.id)
             if call is None or not self._is_at(call, peer):
-                self._send_release(peer, link, id_, cause)
+                self._send_release(peer, link, release.id, release.cause, release.holder)
 
     @staticmethod
     def _is_at(call: Call, peer: Peer) -> bool:
@@ -517,7 +512,7 @@
     def release_confirmed(self, link: int, id_: int) -> None:
         peer = self.link_peer.get(link)
         if peer is not None:
-            peer.links[link].releases.pop(id_, None)
+            peer.links[link].releases.remove(id_)
 
     # What switches say
 
@@ -551,7 +546,8 @@
         self.actions.append(act.SendComplete(link, id_))
         self._note_group(peer, report)
         if call is None:
-            self._keep_unclaimed(id_, UnclaimedRelease(peer, cause, now))
+            if not self.recent.knows(id_, now):  # its caller has heard its end, and brings nothing back
+                self.unclaimed.keep(id_, UnclaimedRelease(peer.number, cause, now))
             return
         if call.stands_at is peer:
             over = api.Outcome.COMPLETED if cause == Cause.NORMAL else api.Outcome.CUT
@@ -561,13 +557,6 @@
             self._end_attempt(call, outcome, NOTES.get(note, api.Cause.NONE), report, told=True)
         self._run()
 
-    def _keep_unclaimed(self, id_: int, release: UnclaimedRelease) -> None:
-        self.unclaimed.pop(id_, None)
-        self.unclaimed[id_] = release
-        oldest = next(iter(self.unclaimed))
-        if len(self.unclaimed) > MAX_KEPT_RELEASES or self.now - self.unclaimed[oldest].at > RELEASE_KEPT_MS:
-            del self.unclaimed[oldest]
-
     def reported(self, link: int, report: Report, now: float) -> None:
         self.now = now
         peer = self.link_peer.get(link)
@@ -609,7 +598,7 @@
         call = Call(offer.id, self._calls_made, conn, offer, echo, offer.number, History(self.now))
         self.metrics.offered += 1
         self.calls[offer.id] = self.in_flight[call.number] = call
-        self.open_bytes += held_bytes(call)
+        self.open_bytes.add(conn, call.number, held_bytes(call))
         self.conns.setdefault(conn, set()).add(offer.id)
         self._events.append(
             api.CallOffered(
@@ -631,26 +620,31 @@
         return Admission.TAKEN
 
     def _bound_open_set_ups(self) -> None:
-        """The one that has waited longest gives way: most answers come long before the end of their time."""
-        while self.open_bytes > self.max_open_bytes and self.in_flight:
+        """Of the connection that holds the most the one that has waited longest gives way.
+
+        Most answers come long before the end of their time, and other connections' are not its to push out.
+        """
+        while self.open_bytes.total > self.max_open_bytes:
+            number = self.open_bytes.oldest_of_largest()
+            assert number is not None
             self.metrics.shed[Shed.OPEN_SET_UP] += 1
-            self._end_unanswered(next(iter(self.in_flight.values())))
+            self._end_unanswered(self.in_flight[number])
             self._run()
 
     def _stands_already(self, conn: int, offer: Offer, known: Call | None) -> Admission:
         peer = self.by_id.get(offer.standing_at)
         if known is not None:
-            if known.id in self.restored and known.stands_at is peer:
+            if peer is not None and known.stands_at is peer and known.id in self.restored:
                 known.conn = conn  # of a call that was set up here its own connection is known
-                self.restored.add(known, conn)
+                self.restored.add(known, peer, conn)
             return Admission.TAKEN
         if peer is None:  # its switch has left
             self.actions.append(
                 act.ReleaseCaller(conn, offer.id, offer.number, Cause.TEMPORARY_FAILURE, confirmed=False)
             )
             return Admission.TAKEN
-        release = self.unclaimed.pop(offer.id, None)
-        if release is not None and release.peer is peer and self.now - release.at <= RELEASE_KEPT_MS:
+        release = self.unclaimed.claim(offer.id, peer.number, self.now)
+        if release is not None:
             self.actions.append(act.ReleaseCaller(conn, offer.id, offer.number, release.cause))
             return Admission.TAKEN
         return self._restore(conn, offer, peer)
@@ -661,7 +655,7 @@
         call.linked_at = self.began  # it was set up before, by the process that ran here then
         self.calls[offer.id] = call
         peer.standing.add(offer.id)
-        self.restored.add(call, conn)
+        self.restored.add(call, peer, conn)
         surplus = self.restored.surplus(peer)
         if surplus is None:
             return Admission.TAKEN
@@ -672,7 +666,7 @@
     def _end_on_both_sides(self, call: Call) -> None:
         """The proxy itself ends a call that stands."""
         if call.stands_at is not None:
-            self._release(call.stands_at, 0, call.id, Cause.TEMPORARY_FAILURE)
+            self._release(call.stands_at, 0, call, Cause.TEMPORARY_FAILURE)
         self._over(call, Cause.TEMPORARY_FAILURE, api.Outcome.CUT, ())
 
     def given_up(self, conn: int, id_: int, now: float) -> bool:
@@ -704,6 +698,7 @@
         """A caller's connection closed: what was trying on it is given up, what stands goes on."""
         self.now = now
         self.restored.connection_closed(conn)
+        self.recent.connection_closed(conn)
         for id_ in self.conns.pop(conn, set()):
             call = self.calls.get(id_)
             if call is not None and call.offer is not None:
@@ -722,13 +717,13 @@
         attempt = call.out
         self._detach(call)
         if attempt is not None and attempt.link in attempt.peer.links:
-            self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
+            self._release(attempt.peer, attempt.link, call, Cause.NORMAL)
         self.calls.pop(call.id, None)
         self._leave_flight(call)
 
     def _leave_flight(self, call: Call) -> None:
         if self.in_flight.pop(call.number, None) is not None:
-            self.open_bytes -= held_bytes(call)
+            self.open_bytes.remove(call.number)
         ids = self.conns.get(call.conn)
         if ids is not None:
             ids.discard(call.id)
@@ -752,7 +747,7 @@
             return
         peer.standing.discard(call.id)
         if by_caller:
-            self._release(peer, 0, call.id, cause)
+            self._release(peer, 0, call, cause)
         else:
             confirmed = call.attempts > 0 or by_switch
             self.actions.append(act.ReleaseCaller(call.conn, call.id, call.dialled, cause, confirmed))
@@ -809,7 +804,7 @@
             return
         self._detach(call)
         if not told and attempt.link in attempt.peer.links:  # a link that closed gave it up by that
-            self._release(attempt.peer, attempt.link, call.id, Cause.NORMAL)
+            self._release(attempt.peer, attempt.link, call, Cause.NORMAL)
         if outcome in DOUBTFUL:
             call.doubtful_end = self.now
         self._record(call, Step.ENDED, f"{attempt.peer.id} {outcome.name} {cause.name}")
@@ -902,7 +897,7 @@
             return
         peer.wanting.pop(call.id, None)
         attempt.link = link
-        self.recent.note(call.id, self.now)
+        self.recent.note(call.id, call.conn, self.now)
         peer.links[link].out.add(call.id)
         self._record(call, Step.SENT, f"{peer.id}/{link}")
         wait = attempt.due - self.now
--- a/dapplehinge/platform/table.py
+++ b/dapplehinge/platform/table.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from math import inf
 
 from dapplehinge import interface as api
 from dapplehinge.platform.offers import Offer
+from dapplehinge.platform.switch_releases import SwitchReleases
 from dapplehinge.platform.telemetry import History
 
 MAX_UNCONFIRMED_RELEASES = 256
@@ -53,7 +53,9 @@
     heard: float  # when something came on it last
     suspect: bool = False  # it says nothing though it should
     out: set[int] = field(default_factory=set)  # ids of the calls out on it
-    releases: dict[int, tuple[int, float]] = field(default_factory=dict)  # unconfirmed: id -> cause, ms
+    releases: SwitchReleases = field(  # unconfirmed
+        default_factory=lambda: SwitchReleases(MAX_UNCONFIRMED_RELEASES)
+    )
     without_circuit: frozenset[int] = frozenset()  # ids of calls that stood as it told of an empty group
 
 
@@ -80,13 +82,4 @@
     standing: set[int] = field(default_factory=set)
     started_at: float = 0.0  # ms, of its process, as the list told last; 0: before all else
     circuits: int = 0  # of the group to it, as it told last; 0: not told yet
-    releases: deque[tuple[int, int]] = field(default_factory=lambda: deque(maxlen=MAX_KEPT_RELEASES))
-
-
-@dataclass(frozen=True, slots=True)
-class UnclaimedRelease:
-    """A switch released a call that is not known (yet)."""
-
-    peer: Peer
-    cause: int
-    at: float  # ms
+    releases: SwitchReleases = field(default_factory=lambda: SwitchReleases(MAX_KEPT_RELEASES))
--- a/tests/test_platform_releases.py
+++ b/tests/test_platform_releases.py
@@ -146,6 +146,23 @@
     assert len(releases.trusted(3, Trust.ANSWERED)) == MAX_RELEASES
 
 
+@pytest.mark.parametrize("confirmed", [False, True])
+@pytest.mark.parametrize("stays", [False, True])
+def test_one_client_s_many_releases_do_not_push_out_those_of_others(releases, confirmed, stays):
+    releases.ended(OWN)
+    owed = [bye(call) for call in range(3)]
+    for release in owed:
+        releases.add(release, 0.0)
+    flood = range(0x1000, 0x1000 + MAX_RELEASES + 2000)
+    for call in flood:
+        releases.add(replace(bye(call, 2), confirmed=confirmed), 1.0)
+    if not stays:
+        releases.ended(2)
+    for call in flood:
+        releases.add(replace(bye(call + 0x10000, 3), confirmed=confirmed), 2.0)
+    assert {0, 1, 2} <= set(ids(releases.trusted(4, Trust.OFFERED)))
+
+
 def test_one_client_s_invented_calls_are_not_told_before_what_is_owed_to_others(releases):
     for call in range(0x1000, 0x1400):
         releases.add(replace(bye(call, 2), confirmed=False), 0.0)
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -10,9 +10,9 @@
 from dapplehinge.platform.offers import OfferError, OfferReader
 from dapplehinge.platform.recent import MAX_RECENT_IDS, RECENT_KEPT_MS
 from dapplehinge.platform.reports import NOTES, OUTCOMES, ReportError, report_from
-from dapplehinge.platform.service import RELEASE_KEPT_MS
 from dapplehinge.platform.settings import Facts, settings_from
 from dapplehinge.platform.table import Attempt
+from dapplehinge.platform.unclaimed import RELEASE_KEPT_MS
 from tests.platform_kit import SETTINGS, Rig, event, invite, of, row, told
 
 
@@ -151,10 +151,10 @@
     for call in (0x11, 0x12):  # one was given up, one has stood and is over
         assert not rig.service.offered(2, rig.offers.read(invite(call)), b"", rig.now)
     assert not of(rig.taken(), act.SendSetUp)
-    rig.service.recent.note(0x13, rig.now)
+    rig.service.recent.note(0x13, 1, rig.now)
     rig.wait(RECENT_KEPT_MS)
     for call in range(0x1000, 0x1000 + MAX_RECENT_IDS):
-        rig.service.recent.note(call, rig.now)
+        rig.service.recent.note(call, 1, rig.now)
     assert len(rig.service.recent) == MAX_RECENT_IDS
     assert rig.service.offered(2, rig.offers.read(invite(0x11)), b"", rig.now)
 
