Parsers: a head full of blanks no longer stops the loop

Cause: the pattern of a header field tried each split between the blanks behind the colon and the value.

Change: no two neighbouring parts of the pattern match the same bytes.

--- a/dapplehinge/isup/codec.py
+++ b/dapplehinge/isup/codec.py
@@ -100,11 +100,14 @@
     return HEAD.pack(LEAST + len(body), message.type, message.call) + body
 
 
+TYPES = {int(each): each for each in Type}
+
+
 def type_of(byte: int) -> Type:
-    try:
-        return Type(byte)
-    except ValueError:
-        raise IsupError(f"unknown message type {byte}") from None
+    found = TYPES.get(byte)
+    if found is None:
+        raise IsupError(f"unknown message type {byte}")
+    return found
 
 
 def decode(data: bytes) -> Message:
@@ -138,7 +141,7 @@
     """Takes bytes as they come, gives whole messages; holds 16 KiB at most beyond what it was just given."""
 
     def __init__(self) -> None:
-        self._held = b""
+        self._held = bytearray()
         self._broken = False
 
     @property
@@ -150,7 +153,8 @@
         """The messages that are whole now, and the error that ends the stream, if any."""
         if self._broken:
             return [], None
-        held = self._held + data if self._held else data
+        held = self._held
+        held += data
         messages: list[Message] = []
         at, end = 0, len(held)
         try:
@@ -162,12 +166,15 @@
                     type_of(held[at + 2])  # noise is told before all of its length has come
                 if end - at < 2 + length:
                     break
-                messages.append(decode(held[at + 2 : at + 2 + length]))
+                messages.append(decode(bytes(held[at + 2 : at + 2 + length])))
                 at += 2 + length
         except IsupError as fault:
-            self._held, self._broken = b"", True
+            self._held, self._broken = bytearray(), True
             return messages, fault
-        self._held = held[at:]
+        if at == end:
+            self._held = bytearray()
+        else:
+            del held[:at]
         return messages, None
 
 
--- a/dapplehinge/platform/members.py
+++ b/dapplehinge/platform/members.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import isfinite
 from typing import Any
 
 from dapplehinge import interface as api
 
+MAX_FIGURE = 1e15
+"""Weights, and Unix times in ms."""
+
 STATES = {
     "active": api.SwitchState.READY,
     "leaving": api.SwitchState.DRAINING,
@@ -130,8 +132,8 @@
             raise FeedError(f"server {id_}: cell {cell!r}")
         started, weight = row.get("started_ms") or 0, row.get("weight", 1)
         for value in (started, weight):
-            if not isinstance(value, int | float) or not isfinite(value) or value < 0:
-                raise FeedError(f"server {id_}: {value!r} is no figure")
+            if not isinstance(value, int | float) or not 0 <= value <= MAX_FIGURE:
+                raise FeedError(f"server {id_}: {str(value)[:40]} is no figure")
         since = max(1e-3, started + self.unix_offset) if started else 0.0
         zone = self.zones.get(str(row.get("zone")), 0)
         return id_, address_of(row.get("addr")), cell, state, zone, since, float(weight)
--- a/dapplehinge/platform/offers.py
+++ b/dapplehinge/platform/offers.py
@@ -18,6 +18,8 @@
 INTEGER = re.compile(r"-?\d{1,9}\Z")
 SWITCH = re.compile(r"[\x21-\x7e]{1,64}\Z")
 MOST_EXCHANGE = 0xFFFF
+MAX_PATH_PARTS = 32
+"""Of P-Path; the protocol has six."""
 
 
 class OfferError(Exception):
@@ -109,6 +111,8 @@
 
     @staticmethod
     def _path(text: str) -> dict[str, str]:
+        if text.count(";") >= MAX_PATH_PARTS:
+            raise OfferError(f"P-Path has over {MAX_PATH_PARTS} parts")
         path: dict[str, str] = {}
         for part in text.split(";"):
             name, _, value = part.strip().partition(":")
--- a/dapplehinge/platform/reports.py
+++ b/dapplehinge/platform/reports.py
@@ -23,6 +23,9 @@
 }
 """What a release before the answer means; with any other cause the set-up was cut."""
 
+MAX_REPORT_FIELDS = 64
+"""The settings name a few."""
+
 Report = tuple[tuple[api.Load, float], ...]
 
 
@@ -32,6 +35,8 @@
 
 def report_from(text: str | None) -> Report:
     """`x0:12;x1:40` as the module's values; fields of unknown names are passed over."""
+    if text is not None and text.count(";") > MAX_REPORT_FIELDS:
+        raise ReportError(f"over {MAX_REPORT_FIELDS} report fields")
     pairs = []
     for part in (text or "").split(";"):
         name, colon, value = part.partition(":")
--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -12,6 +12,7 @@
 import contextlib
 import errno
 import logging
+import re
 import select
 import socket
 from collections.abc import Callable
@@ -47,6 +48,8 @@
 ENDED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 FIRST_READ_PAUSE_S, MAX_READ_PAUSE_S = 0.02, 1.0  # without reading after nonsense, doubling
 
+CAUSE = re.compile(r"[0-9]{1,3}\Z")
+
 log = logging.getLogger("dapplehinge.callers")
 
 
@@ -507,4 +510,4 @@
     """The Q.850 cause of a BYE; normal clearing where none is told (RFC 3326)."""
     _, sign, value = message.fields.get("reason", "").partition("cause=")
     value = value.partition(";")[0].strip()
-    return int(value) if sign and value.isdecimal() and int(value) < 128 else int(Cause.NORMAL)
+    return int(value) if sign and CAUSE.match(value) and int(value) < 128 else int(Cause.NORMAL)
--- a/dapplehinge/sip/codec.py
+++ b/dapplehinge/sip/codec.py
@@ -14,10 +14,13 @@
 """Longest message, head and body."""
 
 MOST_HEADERS = 100
+MAX_START_LINE_BYTES = 512
+END_OF_HEAD = b"\r\n\r\n"
 
 REQUEST_LINE = re.compile(rb"([A-Z]{1,20}) (sips?:[^\s\x00-\x20]{1,256}) SIP/2\.0\Z")
 STATUS_LINE = re.compile(rb"SIP/2\.0 ([1-6]\d\d) [^\r\n\x00]{0,256}\Z")
-FIELD = re.compile(rb"([A-Za-z0-9\-.!%*_+`'~]{1,64})[ \t]*:[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\Z")
+# no two parts next to each other match the same bytes: each pattern takes time in step with its input
+FIELD = re.compile(rb"([A-Za-z0-9\-.!%*_+`'~]{1,64})[ \t]*:([^\x00-\x08\x0a-\x1f\x7f]*)\Z")
 LENGTH = re.compile(r"\d{1,9}\Z")
 SEQUENCE = re.compile(r"(\d{1,10})[ \t]+([A-Z]{1,20})\Z")
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to"}  # RFC 3261 7.3.3
@@ -134,7 +137,9 @@
     """Takes bytes as they come, gives whole messages; holds 16 KiB at most beyond what it was just given."""
 
     def __init__(self) -> None:
-        self._held = b""
+        self._held = bytearray()
+        self._searched = 0  # bytes of it in which the end of the head does not begin
+        self._start_checked = False  # the first line is whole, and a start line
         self._head: tuple[Message, int] | None = None
         self._head_bytes = 0
         self._broken = False
@@ -153,49 +158,68 @@
         """The messages that are whole now, and the error that ends the stream, if any."""
         if self._broken:
             return [], None
-        held = self._held + data if self._held else data
+        self._held += data
         messages: list[Message] = []
         try:
-            while held or self._head:
-                if self._head is None:
-                    if held[:1] in b"\r\n":  # RFC 3261 7.5: empty lines before a message are ignored
-                        held = held.lstrip(b"\r\n")
-                        continue
-                    end = held.find(b"\r\n\r\n", 0, MOST_BYTES)
-                    if end < 0:
-                        if len(held) >= MOST_BYTES:
-                            raise SipError(413, f"a head of over {MOST_BYTES} bytes")
-                        self._check_start(held)
-                        break
-                    self._head = parse_head(held[:end])
-                    self._head_bytes = end
-                    held = held[end + 4 :]
-                message, length = self._head
-                if len(held) < length:
-                    break
-                if length:
-                    message = replace(message, body=held[:length])
+            while (message := self._next_message()) is not None:
                 messages.append(message)
-                held, self._head = held[length:], None
         except SipError as fault:
             self.close()
             return messages, fault
-        self._held = held
+        if not self._held:
+            self._held = bytearray()  # frees what a long message took
         return messages, None
 
     def close(self) -> None:
         """Let go of what is held; nothing more is given."""
-        self._held, self._head, self._broken = b"", None, True
-
-    @staticmethod
-    def _check_start(held: bytes) -> None:
+        self._held, self._head, self._broken = bytearray(), None, True
+
+    def _next_message(self) -> Message | None:
+        """Take one off what is held, if it is whole."""
+        if self._head is None and not self._take_head():
+            return None
+        assert self._head is not None
+        message, length = self._head
+        if len(self._held) < length:
+            return None
+        if length:
+            message = replace(message, body=bytes(self._held[:length]))
+            del self._held[:length]
+        self._head = None
+        return message
+
+    def _take_head(self) -> bool:
+        """False: it is not whole. What was searched and checked before is not looked at again."""
+        held = self._held
+        if held[:1] in (b"\r", b"\n"):  # RFC 3261 7.5: empty lines before a message are ignored
+            held = self._held = held.lstrip(b"\r\n")
+            self._searched = 0
+        if not held:
+            return False
+        end = held.find(END_OF_HEAD, self._searched, MOST_BYTES)
+        if end < 0:
+            if len(held) >= MOST_BYTES:
+                raise SipError(413, f"a head of over {MOST_BYTES} bytes")
+            self._check_start()
+            self._searched = max(0, len(held) - len(END_OF_HEAD) + 1)
+            return False
+        self._head = parse_head(bytes(held[:end]))
+        self._head_bytes = end
+        del held[: end + len(END_OF_HEAD)]
+        self._searched, self._start_checked = 0, False
+        return True
+
+    def _check_start(self) -> None:
         """Tell noise at once: a first line that is whole, or too long, must be a start line."""
-        end = held.find(b"\r\n")
-        first = held[:end] if end >= 0 else held
+        if self._start_checked:
+            return
+        end = self._held.find(b"\r\n", 0, MAX_START_LINE_BYTES + 2)
+        first = bytes(self._held[: end if end >= 0 else MAX_START_LINE_BYTES + 1])
         if end >= 0 and not (REQUEST_LINE.match(first) or STATUS_LINE.match(first)):
             raise SipError(400, f"no start line: {first[:40]!r}")
-        if end < 0 and (len(first) > 512 or b"\n" in first or not first[:1].isalpha()):
+        if end < 0 and (len(first) > MAX_START_LINE_BYTES or b"\n" in first or not first[:1].isalpha()):
             raise SipError(400, f"no start line: {first[:40]!r}")
+        self._start_checked = end >= 0
 
 
 def response(status: int, echo: bytes, fields: bytes = b"", body: bytes = b"") -> bytes:
