Platform: a release of a call not known yet is kept until its caller can be back

Cause: its release was forgotten after 8 s; callers come when the proxy is ready, for which it has 30 s.

--- a/dapplehinge/platform/unclaimed.py
+++ b/dapplehinge/platform/unclaimed.py
@@ -13,7 +13,8 @@
 
 MAX_UNCLAIMED_RELEASES = 4096
 
-RELEASE_KEPT_MS = 8000.0
+RELEASE_KEPT_MS = 60_000.0
+"""Callers come back when the proxy is ready, for which the platform gives it 30 s, or seconds later."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -15,6 +15,9 @@
 from dapplehinge.platform.unclaimed import RELEASE_KEPT_MS
 from tests.platform_kit import SETTINGS, Rig, event, invite, of, row, told
 
+READY_WITHIN_MS = 30_000.0  # of a proxy's start
+IDLE_CLOSE_MS = 4000.0  # of callers' connections
+
 
 @pytest.fixture
 def rig():
@@ -598,6 +601,13 @@
     assert not rig.service.calls and not rig.peer(1).standing
 
 
+def test_a_call_that_ended_while_the_proxy_was_down_and_comes_back_late_is_not_left_standing(rig):
+    rig.released(0x31)
+    rig.wait(READY_WITHIN_MS + IDLE_CLOSE_MS)
+    [bye] = of(rig.offer(0x31, path="at:s-1"), act.ReleaseCaller)
+    assert bye.id == 0x31 and not rig.peer(1).standing
+
+
 def test_a_release_by_another_switch_or_long_ago_does_not_end_a_call_that_is_brought_back(rig):
     rig.released(0x31, place=2)
     rig.released(0x32)
