Soak: the judge of rule 4 counts the cold time only, and the switches that may be sent to

Windows lie within the cold time now; those at its end are moved there whole, with the whole bound, so nothing that arrives while it is cold goes uncounted.

The doctored records stand at the edges of the bound now: 37 broken and 36 allowed at its start, 54 and 53 at the end of the cold time (24 and 20 before), and many at a switch that is warm are allowed.

--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -15,6 +15,8 @@
 READY_WITHIN_S = 30.0
 BAD_CALLER_S = 3.0
 
+OWN_AND_COLD = 2  # switches that are not among the others
+
 DOUBTFUL_ENDS = {AttemptEnd.RESET, AttemptEnd.GIVEN_UP, AttemptEnd.LINK_CLOSED}
 
 
@@ -177,17 +179,21 @@
 
 
 def cold_switches_pushed_over(records: Records) -> list[Violation]:
-    """Rule 4: a cold switch gets no more in a window than it bears (standing test page).
+    """Rule 4: a cold switch gets no more in a window of its cold time than it bears (standing test page).
 
-    What it bears follows from what the other switches get in the same window on average.
+    What it bears follows from what the other switches get in the same window on average, of those that the
+    proxy may send to: what the switch of its own exchange gets comes from other proxies.
     """
     found = []
     for change in records.changes:
         if not change.cold:
             continue
-        arrivals = [each for each in records.attempts if each.switch == change.switch]
+        warm_at = change.published_at + records.cold.span_s
+        at_switch = [each for each in records.attempts if each.switch == change.switch]
+        arrivals = [each for each in at_switch if each.arrived_at < warm_at]
         for first in arrivals:
-            begin, end = first.arrived_at, first.arrived_at + records.cold.window_s
+            begin = min(first.arrived_at, warm_at - records.cold.window_s)
+            end = begin + records.cold.window_s
             count = sum(begin <= each.arrived_at < end for each in arrivals)
             if count > cold_limit(records, change, begin, end):
                 text = f"{change.switch}: {count} set-ups in {records.cold.window_s} s"
@@ -199,10 +205,9 @@
 def cold_limit(records: Records, change: ListChange, begin: float, end: float) -> float:
     cold = records.cold
     grown = min(1.0, cold.share + (1.0 - cold.share) * max(0.0, begin - change.published_at) / cold.span_s)
-    if begin >= change.published_at + cold.span_s:
-        return inf
-    others = sum(begin <= each.arrived_at < end for each in records.attempts if each.switch != change.switch)
-    allowed = cold.fall_multiple * grown * others / max(1, records.switches - 1)
+    elsewhere = [each for each in records.attempts if each.switch != change.switch]
+    others = sum(begin <= each.arrived_at < end for each in elsewhere)
+    allowed = cold.fall_multiple * grown * others / max(1, records.switches - OWN_AND_COLD)
     return allowed + (2 * sqrt(allowed) + 2 if allowed >= 30 else 3 * sqrt(allowed) + 3)
 
 
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -8,6 +8,7 @@
     AttemptEnd,
     BadConnection,
     CallerKind,
+    ColdContract,
     FinalAnswer,
     ListChange,
     NodeRun,
@@ -53,14 +54,15 @@
     return made
 
 
-def at_a_cold_switch(count, elsewhere):
-    """Set-ups within a second of its start, and as many seconds' worth at two other switches."""
-    cold = [attempt(5.0 + n / count, 5.1 + n / count, call=n) for n in range(count)]
-    starts = [5.0 + n / elsewhere for n in range(elsewhere)]
+def at_a_cold_switch(count, elsewhere, begin=5.0):
+    """Set-ups within a second, soon after its start, and in the same second at the one other switch."""
+    cold = [attempt(begin + n / count, begin + 0.1 + n / count, call=n) for n in range(count)]
+    starts = [begin + n / elsewhere for n in range(elsewhere)]
     return cold + [attempt(at, at + 0.1, switch="s-2", call=1000 + n) for n, at in enumerate(starts)]
 
 
 STARTED = ListChange(2, "s-1", 1, "active", 4.9, cold=True)
+WARM_S = STARTED.published_at + ColdContract().span_s
 
 
 def drained(told=4.0):
@@ -96,7 +98,11 @@
         records(set_up(), attempts=[attempt(ended=6.0), attempt(5.5, 6.1, switch="s-2")]),
     ),
     "sent to a draining switch": ("drain", records(set_up(), attempts=[attempt()], changes=[drained()])),
-    "a cold switch pushed over": ("cold", records(attempts=at_a_cold_switch(24, 20), changes=[STARTED])),
+    "a cold switch pushed over": ("cold", records(attempts=at_a_cold_switch(37, 20), changes=[STARTED])),
+    "a cold switch pushed over just before it is warm": (
+        "cold",
+        records(attempts=at_a_cold_switch(54, 20, WARM_S - 1.0), changes=[STARTED]),
+    ),
     "sent again within the guard": (
         "guard",
         records(set_up(), attempts=[attempt(end=AttemptEnd.RESET), attempt(5.35, 5.4)]),
@@ -129,7 +135,13 @@
     "sent within the grace of a drain": records(
         set_up(), attempts=[attempt(4.2, 4.3)], changes=[drained()]
     ),
-    "what a cold switch bears": records(attempts=at_a_cold_switch(20, 20), changes=[STARTED]),
+    "what a cold switch bears": records(attempts=at_a_cold_switch(36, 20), changes=[STARTED]),
+    "what it bears just before it is warm": records(
+        attempts=at_a_cold_switch(53, 20, WARM_S - 1.0), changes=[STARTED]
+    ),
+    "many at a switch that is warm by then": records(
+        attempts=[*at_a_cold_switch(3, 2, WARM_S - 1.0), *at_a_cold_switch(90, 2, WARM_S)], changes=[STARTED]
+    ),
     "a bad caller that was closed": records(bad=[BadConnection(1.0, 3.5)]),
 }
 
