--- a/dapplehinge/platform/releases.py
+++ b/dapplehinge/platform/releases.py
@@ -35,8 +35,11 @@
 UNTOLD_KEPT_MS = 60_000.0
 """For which one is told on the connections that come."""
 
+MAX_FIRST_COPIES = 1024
+"""Between two ticks, of releases that were told nowhere: a full table is told within a second."""
+
 MAX_COPIES = 64
-"""Between two ticks, of releases that were told before on a connection that may be another's."""
+"""The same of those that were told before on a connection that may be another's."""
 
 MAX_LATE_COPIES = 8
 """The same of those that are put behind, or that nobody but a caller vouches for."""
@@ -147,6 +150,7 @@
         self._untold: dict[int, _Owed] = {}
         self._waiting: dict[int, _Owed] = {}
         self._late: dict[int, _Owed] = {}
+        self._first_copies_left = MAX_FIRST_COPIES
         self._copies_left = MAX_COPIES
         self._late_copies_left = MAX_LATE_COPIES
 
@@ -169,10 +173,11 @@
             return []
         sends = []
         copies = [
+            *islice(self._untold.values(), self._first_copies_left),
             *islice(self._waiting.values(), self._copies_left),
             *islice(self._late.values(), self._late_copies_left),
         ]
-        for owed in [*self._untold.values(), *copies]:
+        for owed in copies:
             sends += self._copy(owed, connection)
         return sends
 
@@ -230,13 +235,14 @@
                 self._drop(call_id)
             elif now - owed.since >= TOLD_KEPT_MS and owed.told_on:
                 self._defer(owed)
+        self._first_copies_left = MAX_FIRST_COPIES
         self._copies_left, self._late_copies_left = MAX_COPIES, MAX_LATE_COPIES
         return [*self._tell_waiting(), *self._tell_late()]
 
     def _tell_waiting(self) -> list[Send]:
         """Each on its next connection, again and again while there is one."""
         sends: list[Send] = []
-        for owed in list(self._untold.values()):
+        for owed in list(islice(self._untold.values(), self._first_copies_left)):
             sends += self._tell_next(owed)
         more = list(self._waiting.values())
         while more and self._copies_left > 0:
@@ -266,7 +272,7 @@
 
     def _tell_likeliest(self, owed: _Owed) -> list[Send]:
         connection = self._callers.likeliest()
-        if connection is None or owed.need is not Need.UNTOLD:
+        if connection is None or owed.need is not Need.UNTOLD or self._first_copies_left <= 0:
             return []
         return self._copy(owed, connection)
 
@@ -281,10 +287,13 @@
     def _copy(self, owed: _Owed, connection: int) -> list[Send]:
         if connection in owed.told_on:
             return []
-        if owed.need is Need.WAITING:
-            self._copies_left -= 1
-        elif owed.need is not Need.UNTOLD:
-            self._late_copies_left -= 1
+        match owed.need:
+            case Need.UNTOLD:
+                self._first_copies_left -= 1
+            case Need.WAITING:
+                self._copies_left -= 1
+            case _:
+                self._late_copies_left -= 1
         return [self._tell(owed, connection)]
 
     def _tell(self, owed: _Owed, connection: int) -> Send:
