Platform: the links to switches have a module of their own

platform/switch_links.py decides when a link is made, which may be used and which are silent; what that means for calls stays in service.py (942 lines before, 826 now).

--- a/dapplehinge/platform/service.py
+++ b/dapplehinge/platform/service.py
@@ -28,7 +28,6 @@
 from dapplehinge.calls.interlock import Interlock, Ruling
 from dapplehinge.isup.codec import Cause
 from dapplehinge.platform import actions as act
-from dapplehinge.platform.descriptors import MAX_LINKS
 from dapplehinge.platform.members import Change, Member
 from dapplehinge.platform.memory import OPEN_SET_UP_BYTES
 from dapplehinge.platform.offers import Offer, dialled
@@ -37,8 +36,9 @@
 from dapplehinge.platform.restored import RestoredCalls
 from dapplehinge.platform.settings import Facts, settings_from
 from dapplehinge.platform.shares import Shares
+from dapplehinge.platform.switch_links import SwitchLinks
 from dapplehinge.platform.switch_releases import SwitchRelease
-from dapplehinge.platform.table import Attempt, Call, Link, Peer
+from dapplehinge.platform.table import Attempt, Call, Peer
 from dapplehinge.platform.telemetry import History, LinkClose, Metrics, Shed, Step
 from dapplehinge.platform.unclaimed import UnclaimedRelease, UnclaimedReleases
 from dapplehinge.rules import Controller
@@ -46,19 +46,6 @@
 GUARD_MARGIN_MS = 50.0
 """What the platform's protocol adds to its time limits: the guard is kept with as much to spare."""
 
-FIRST_RECONNECT_DELAY_MS, MAX_RECONNECT_DELAY_MS = 100.0, 1000.0
-"""Before a link that failed is opened again; doubled each time in a row."""
-
-DEAD_AFTER_MS = 1000.0
-"""Of connections refused without a break after which no process is at the switch's address."""
-
-QUIET_AFTER_MS = 1500.0
-"""Without a word from a switch after which a new connection is tried: that brings the group's state."""
-
-SILENT_AFTER_MS = 6500.0
-"""Without any sign of a switch after which its calls are over. The protocol gives 8 s from the end of a
-call whose release could not be sent, and it may have ended as the silence began."""
-
 HEALTH_CHECK_INTERVAL_MS = 500.0
 """Between two looks at which switches are quiet."""
 
@@ -72,9 +59,6 @@
 MIN_PRUNED_TIMERS = 2000
 """Below this many timers those of ended attempts stay until they fall due."""
 
-UNCONFIRMED_KEPT_MS = 8000.0
-"""For which a release that was written and not confirmed may be written again; confirming is free."""
-
 DOUBTFUL = (api.Outcome.TIMED_OUT, api.Outcome.CUT, api.Outcome.CANCELLED)
 
 
@@ -104,6 +88,7 @@
         settings = settings_from(facts)
         self.controller = Controller(settings, seed)
         self.connect_within = facts.number("policy_limits.connect_timeout", "500")
+        self.links = SwitchLinks(self, self.connect_within)
         self.answers_within = self.connect_within / 2.0
         self.interlock = Interlock(settings.guard, 0.0, GUARD_MARGIN_MS)
         self.calls: dict[int, Call] = {}  # by id, trying and standing
@@ -113,18 +98,15 @@
         self.conns: dict[int, set[int]] = {}  # connection -> ids of the calls trying on it
         self.peers: dict[api.SwitchId, Peer] = {}
         self.by_id: dict[str, Peer] = {}
-        self.link_peer: dict[int, Peer] = {}  # links up or being made
         self.tests: dict[int, tuple[Peer, float]] = {}
         self.actions: list[act.Action] = []
         self.metrics = Metrics()
-        self.links_per_switch = MAX_LINKS
         self.restored = RestoredCalls()
         self.recent = RecentIds()
         self.unclaimed = UnclaimedReleases()
         self.answer_by = inf  # ms at which a shutdown ends all calls
         self.now = self.began = 0.0
         self._calls_made = 0
-        self._links_made = 0
         self._tests_made = 0
         self._events: deque[api.Event] = deque()
         self._agenda: Agenda[tuple[_Due, int, int]] = Agenda()
@@ -167,12 +149,12 @@
                         self._send(call)
                 case _Due.OPEN:
                     peer = self.peers.get(first)
-                    if peer is not None and not peer.opening and len(peer.links) < self.links_per_switch:
-                        self._open(peer)
+                    if peer is not None:
+                        self.links.open_if_needed(peer)
                 case _Due.UNHEARD if now - when > LATE_LOOK_MS:  # what came meanwhile is read first
                     self._at(now + LATE_LOOK_MS, what, first, second)
                 case _Due.UNHEARD:
-                    self._unheard(first, second)
+                    self.links.unheard(first, second)
                 case _Due.EMPTY_GROUP:
                     self._end_calls_without_circuit(first, second)
                 case _Due.WATCH:
@@ -248,7 +230,7 @@
                 self._take_over(peer)
                 self.peers[member.number] = peer
                 self.by_id[member.id] = peer
-                self._open(peer)
+                self.links.open(peer)
             elif peer is not None:
                 self._changed(peer, member)
         self._run()
@@ -270,9 +252,7 @@
                 if call.link in peer.links:
                     self._send_release(peer, call.link, id_, Cause.TEMPORARY_FAILURE, call.conn)
             for link in [*peer.links, *([peer.opening] if peer.opening else [])]:
-                self._drop_link(peer, link)
-                self.metrics.link_closes[LinkClose.SWITCH_GONE] += 1
-                self.actions.append(act.CloseLink(link))
+                self.links.drop(peer, link, LinkClose.SWITCH_GONE)
             self._cut_standing(peer)
             peer.releases.take_all()
 
@@ -289,7 +269,7 @@
             for number, link in list(former.links.items()):
                 if link.since >= started and not link.out:
                     successor.links[number] = former.links.pop(number)
-                    self.link_peer[number] = successor
+                    self.links.taken_over(number, successor)
             for id_ in sorted(former.standing):
                 call = self.calls[id_]
                 if call.linked_at >= started:
@@ -313,7 +293,7 @@
         peer.address, peer.replaced = member.address, False
         peer.started_at = max(peer.started_at, started)
         if not peer.links and not peer.opening:
-            self._open(peer)
+            self.links.open(peer)
 
     def _end_process(self, peer: Peer, ended: float) -> None:
         """Links that came up before `ended` lead nowhere, and the calls that were set up on them are cut."""
@@ -321,34 +301,17 @@
         if peer.opening and ended >= self.now:
             earlier.append(peer.opening)
         for link in earlier:
-            self._drop_link(peer, link)
-            self.metrics.link_closes[LinkClose.PROCESS_REPLACED] += 1
-            self.actions.append(act.CloseLink(link))
+            self.links.drop(peer, link, LinkClose.PROCESS_REPLACED)
         self._cut_standing(peer, {id_ for id_ in peer.standing if self.calls[id_].linked_at < ended})
         peer.refused_since, peer.failures = inf, 0
 
     # Links
 
-    def _open(self, peer: Peer) -> None:
-        if peer.replaced:
-            return  # another switch is at its address
-        self._links_made += 1
-        peer.opening = self._links_made
-        self.link_peer[peer.opening] = peer
-        self.actions.append(act.OpenLink(peer.number, peer.opening, peer.address, self.connect_within))
-
     def link_up(self, link: int, now: float) -> None:
         self.now = now
-        peer = self.link_peer.get(link)
-        if peer is None or peer.opening != link:
-            self.actions.append(act.CloseLink(link))
+        peer = self.links.up(link)
+        if peer is None:
             return
-        peer.opening = 0
-        peer.links[link] = Link(now, now)
-        peer.refused_since = inf
-        if peer.again:
-            peer.again = False
-            self._open_later(peer)
         self._send_kept_releases(peer, link)
         for call in list(peer.wanting.values()):
             self._send(call)
@@ -357,16 +320,10 @@
     def link_failed(self, link: int, refused: bool, now: float) -> None:
         """A link that was being made did not come up. `refused`: at once, so that nothing listens there."""
         self.now = now
-        peer = self.link_peer.pop(link, None)
-        if peer is None or peer.opening != link:
+        peer = self.links.failed(link, refused)
+        if peer is None:
             return
-        peer.opening = 0
-        self.metrics.link_closes[LinkClose.REFUSED if refused else LinkClose.NOT_UP] += 1
-        self._open_later(peer)
-        peer.refused_since = min(peer.refused_since, now) if refused else inf
-        if refused and peer.links:
-            peer.last_heard = now  # it is there: what is dead resets its connections
-        elif not peer.draining and now - peer.refused_since >= DEAD_AFTER_MS:
+        if self.links.dead(peer):
             self._cut_standing(peer)
         for call in list(peer.wanting.values()):
             self._end_attempt(call, api.Outcome.UNREACHABLE)
@@ -375,114 +332,41 @@
     def link_lost(self, link: int, now: float) -> None:
         """A link that was up has closed or said what can't be read: what was out on it is in doubt."""
         self.now = now
-        peer = self.link_peer.get(link)
-        if peer is None:
-            return
-        if now - peer.links[link].since >= MAX_RECONNECT_DELAY_MS:
-            peer.last_heard, peer.failures = now, 0
-        self._drop_link(peer, link)
-        self._make_up(peer)
+        self.links.lost(link)
         self._run()
 
-    def _make_up(self, peer: Peer) -> None:
-        """A link has gone: make another, also where some are left.
-
-        A switch sends a release on the link of its set-up and on the next one that is made, so what was on
-        its way on the one that has gone comes on a new one only.
-        """
-        if peer.opening:
-            peer.again = True
-        elif peer.failures == 0:
-            peer.failures = 1
-            self._open(peer)
-        else:
-            self._open_later(peer)
-
-    def _open_later(self, peer: Peer) -> None:
-        gap = min(MAX_RECONNECT_DELAY_MS, FIRST_RECONNECT_DELAY_MS * 2.0 ** min(peer.failures, 8))
-        peer.failures += 1
-        self._at(self.now + gap, _Due.OPEN, peer.number)
-
-    def _drop_link(self, peer: Peer, link: int) -> None:
-        del self.link_peer[link]
-        gone = peer.links.pop(link, None)
-        if gone is None:
-            peer.opening = 0
-            return
-        for id_ in sorted(gone.out):
-            self._end_attempt(self.calls[id_], api.Outcome.CUT)
-        recent = self.now - UNCONFIRMED_KEPT_MS
-        for release in gone.releases:
-            if release.at >= recent:
-                peer.releases.add(release)
-
-    def _link(self, peer: Peer) -> int:
-        """The link for what goes out now; 0 where none is up that can be trusted."""
-        trusted = [number for number, link in peer.links.items() if not link.suspect]
-        return min(trusted, key=lambda number: len(peer.links[number].out), default=0)
-
-    # Links that are up and silent
-
     def heard(self, link: int, now: float) -> None:
         """Something that can be read came on a link."""
         self.now = now
-        peer = self.link_peer.get(link)
-        if peer is not None:
-            here = peer.links[link]
-            here.heard = peer.last_heard = now
-            here.suspect = False
-            for number in [number for number, other in peer.links.items() if other.suspect]:
-                # another link works: what is out on a silent one is cut, its releases come on the next
-                self._drop_link(peer, number)
-                self.metrics.link_closes[LinkClose.SILENT] += 1
-                self.actions.append(act.CloseLink(number))
-                if not peer.opening:
-                    self._open(peer)
-            self._run()
-
-    def _unheard(self, link: int, sent: int) -> None:
-        """A set-up went out on a link some time ago; at the least the group's state should have changed.
+        self.links.heard(link)
+        self._run()
 
-        Guards against connections that stay open and are of no further use: a message that stopped short, a
-        far end that has forgotten it. A new connection tells which of link and switch is silent.
-        """
-        peer = self.link_peer.get(link)
-        if peer is not None and peer.links[link].heard <= sent:
-            peer.links[link].suspect = True
-            self._try_another(peer)
+    def carry_out(self, action: act.Action) -> None:
+        """For the links."""
+        self.actions.append(action)
 
-    def _try_another(self, peer: Peer) -> None:
-        """Where no link is trusted, a new connection tells whether the switch or its links are silent.
+    def open_link_at(self, when: float, switch: api.SwitchId) -> None:
+        """For the links."""
+        self._at(when, _Due.OPEN, switch)
 
-        At the most links that a switch may have, the new one takes the place of the oldest: else nothing
-        would ever be asked again.
-        """
-        if peer.opening or self._link(peer):
-            return
-        if len(peer.links) >= self.links_per_switch:
-            oldest = min(peer.links, key=lambda number: (bool(peer.links[number].out), number))
-            self._drop_link(peer, oldest)
-            self.metrics.link_closes[LinkClose.SILENT] += 1
-            self.actions.append(act.CloseLink(oldest))
-        self._open(peer)
+    def set_ups_cut(self, ids: list[int]) -> None:
+        """For the links: what was out on one that has gone is in doubt."""
+        for id_ in ids:
+            self._end_attempt(self.calls[id_], api.Outcome.CUT)
 
     def _watch(self) -> None:
         self._at(self.now + HEALTH_CHECK_INTERVAL_MS, _Due.WATCH)
         for peer in list(self.peers.values()):
-            if self.now - peer.last_heard < QUIET_AFTER_MS:
-                continue
-            for link in peer.links.values():
-                link.suspect = link.suspect or self.now - link.heard >= QUIET_AFTER_MS
-            if peer.links:
-                self._try_another(peer)
-            if peer.standing and self.now - peer.last_heard >= SILENT_AFTER_MS:
+            if self.links.check(peer) and peer.standing:
                 for id_ in sorted(peer.standing):
                     self._keep_release(peer, id_, Cause.TEMPORARY_FAILURE, self.calls[id_].conn)
                 self._cut_standing(peer)
 
+    # Releases to switches
+
     def _release(self, peer: Peer, link: int, call: Call, cause: int) -> None:
         """To the link of its set-up, else any, else the next one that is made."""
-        use = link if link in peer.links else self._link(peer) or max(peer.links, default=0)
+        use = link if link in peer.links else self.links.usable(peer) or max(peer.links, default=0)
         if use:
             self._send_release(peer, use, call.id, cause, call.conn)
         else:
@@ -510,7 +394,7 @@
         return out or call.stands_at is peer
 
     def release_confirmed(self, link: int, id_: int) -> None:
-        peer = self.link_peer.get(link)
+        peer = self.links.peer(link)
         if peer is not None:
             peer.links[link].releases.remove(id_)
 
@@ -518,7 +402,7 @@
 
     def answered(self, link: int, id_: int, description: bytes, now: float) -> None:
         self.now = now
-        peer, call = self.link_peer.get(link), self.calls.get(id_)
+        peer, call = self.links.peer(link), self.calls.get(id_)
         if peer is None:
             return
         if call is None or call.offer is None or call.out is None or call.out.link != link:
@@ -540,7 +424,7 @@
 
     def released(self, link: int, id_: int, cause: int, note: str, report: Report, now: float) -> None:
         self.now = now
-        peer, call = self.link_peer.get(link), self.calls.get(id_)
+        peer, call = self.links.peer(link), self.calls.get(id_)
         if peer is None:
             return
         self.actions.append(act.SendComplete(link, id_))
@@ -559,7 +443,7 @@
 
     def reported(self, link: int, report: Report, now: float) -> None:
         self.now = now
-        peer = self.link_peer.get(link)
+        peer = self.links.peer(link)
         if peer is not None:
             self._note_group(peer, report)
             if 0 < peer.circuits <= dict(report).get(api.Load.FREE_CIRCUITS, 0.0):
@@ -889,11 +773,11 @@
             self._record(call, Step.HELD)
             self._at(answer.not_before, _Due.HELD, call.number, attempt.number)
             return
-        link = self._link(peer)
+        link = self.links.usable(peer)
         if not link:
             self._record(call, Step.NO_LINK)
             peer.wanting[call.id] = call
-            self._try_another(peer)
+            self.links.try_another(peer)
             return
         peer.wanting.pop(call.id, None)
         attempt.link = link
@@ -919,7 +803,7 @@
 
     def _probe(self, switch: api.SwitchId) -> None:
         peer = self.peers.get(switch)
-        link = self._link(peer) if peer else 0
+        link = self.links.usable(peer) if peer else 0
         if peer is None or not link:
             self._events.append(api.SwitchReport(switch, True, False, 0.0))
             return
--- a/dapplehinge/proxy/platform/node.py
+++ b/dapplehinge/proxy/platform/node.py
@@ -81,7 +81,7 @@
         now = clock()
         for change in changes:
             self.service.told(change, now)
-        self.service.links_per_switch = self.descriptors.links_per_switch(len(self.service.peers))
+        self.service.links.most_per_switch = self.descriptors.links_per_switch(len(self.service.peers))
         self.pump()
         if fault is not None:
             raise ValueError(str(fault))
--- a/tests/test_platform_service.py
+++ b/tests/test_platform_service.py
@@ -472,7 +472,7 @@
 
 @pytest.mark.parametrize("links", [1, 2, 3, 4])
 def test_calls_at_a_sound_switch_that_has_nothing_to_tell_are_not_ended_with_few_links(rig, links):
-    rig.service.links_per_switch = links
+    rig.service.links.most_per_switch = links
     standing(rig)
     opened = []
     for _ in range(300):  # each new link brings the state of its group, and then nothing
@@ -485,7 +485,7 @@
 
 
 def test_a_switch_that_hangs_and_takes_connections_does_not_get_ever_more_of_them(rig):
-    rig.service.links_per_switch = 2
+    rig.service.links.most_per_switch = 2
     for call in range(0x100, 0x100 + 20):
         opened = rig.offer(call, path="dest:1;width:1;via:-1;transit:1", time_left="2000")
         for _ in range(30):
