Cold start: the first second of a proxy counts as whole

A proxy that had just started took its first call, some milliseconds later, for hundreds a second, and many proxies are restarted together. The new test fails before (found by reading, not seen on sockets).

--- a/dapplehinge/cold_start.py
+++ b/dapplehinge/cold_start.py
@@ -39,6 +39,7 @@
 
     def __init__(self, now: float) -> None:
         self._at = now
+        self._warm = 0
         self._counts: deque[_Count] = deque(maxlen=WINDOW_COUNTS)
         self._counting = _Count(now)
         self._usual: float | None = None  # None: no window has ended yet
@@ -46,7 +47,7 @@
 
     def advance(self, now: float, warm_switches: int) -> None:
         """So many switches have been warm since the last call; without any no time passes here."""
-        gap, self._at = now - self._at, now
+        gap, self._at, self._warm = now - self._at, now, warm_switches
         self._counting.span += gap * warm_switches
         if now - self._counting.began < COUNTING_MS:
             return
@@ -63,9 +64,10 @@
 
     @property
     def rate(self) -> float:
-        """For one switch."""
+        """For one switch; a first second that is not over yet counts as whole."""
         counts = [*self._counts, self._counting]
-        present = sum(each.set_ups for each in counts) / max(1.0, sum(each.span for each in counts))
+        span = max(sum(each.span for each in counts), COUNTING_MS * max(1, self._warm))
+        present = sum(each.set_ups for each in counts) / span
         return present if self._usual is None else min(present, self._usual)
 
     def _learn(self, now: float) -> None:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -196,3 +196,11 @@
         load.advance(float(now), 1)
         load.stood()
     assert load.rate == pytest.approx(0.01, rel=0.05)
+
+
+def test_a_proxy_that_has_just_started_does_not_take_its_first_calls_for_its_usual_load():
+    load = CarriedLoad(0.0)
+    for now in (5.0, 6.0):
+        load.advance(now, 10)
+        load.stood()
+    assert load.rate <= 2 / (1000.0 * 10)
