--- a/dapplehinge/proxy/platform/callers.py
+++ b/dapplehinge/proxy/platform/callers.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextlib
-import errno
 import logging
 import re
 import select
@@ -18,9 +17,7 @@
 from collections.abc import Callable
 from enum import Enum, auto
 from itertools import islice
-from typing import Any
 
-from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from dapplehinge.isup.codec import Cause
@@ -31,6 +28,7 @@
 from dapplehinge.platform.service import Admission, Service
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose, Shed
+from dapplehinge.proxy.platform.listener import Listener
 from dapplehinge.proxy.platform.streams import bounded, free_error
 from dapplehinge.proxy.platform.turns import Turns
 from dapplehinge.sip import codec as sip
@@ -38,8 +36,6 @@
 DEFAULT_MEMORY_BYTES = 192_000_000
 MAX_UNREAD_BYTES = 64 * 1024
 MAX_LOOKS = 64  # connections looked at for room at one go
-ACCEPT_BATCH = 32  # connections accepted at one go
-ACCEPT_PAUSE_S = 0.05  # without accepting when descriptors are short
 CLOSE_GRACE_MS = 100.0  # that a caller gets to close his end
 CHUNK_BYTES = 2 * 1024  # read at one go: taken in a few ms, so that hundreds get their turns in time
 MAX_LAST_READS = 4  # at one go, so that others get their turn
@@ -127,58 +123,19 @@
         self.releases = CallerReleases()
         self._turns = Turns()
         self._numbers = 0
-        self._listening: socket.socket | None = None
+        self._listener = Listener(self._accept, self._has_room, self._make_room)
 
     # Connections
 
     def listen(self, sock: socket.socket) -> None:
-        self._listening = sock
-        IOLoop.current().add_handler(sock, self._accept_some, IOLoop.READ)
+        self._listener.listen(sock)
 
     def stop_listening(self) -> None:
         """What the system has accepted already is taken first."""
-        while self._accept_batch():
-            pass
-        sock, self._listening = self._listening, None
-        if sock is not None:
-            IOLoop.current().remove_handler(sock)
-            sock.close()
-
-    def _accept_some(self, listening: Any, events: int) -> None:
-        self._accept_batch()
-
-    def _accept_batch(self) -> bool:
-        """True: more connections may be waiting."""
-        for _ in range(ACCEPT_BATCH):
-            if self._listening is None:
-                return False
-            if len(self.conns) >= self.most() and not self._make_room():
-                self._pause_accepting()
-                return False
-            try:
-                sock, _ = self._listening.accept()
-            except BlockingIOError:
-                return False
-            except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    log.warning("callers.no_descriptor connections=%d", len(self.conns))
-                    self._make_room()
-                    self._pause_accepting()
-                    return False
-                continue  # it has gone again
-            self._accept(sock)
-        return True
-
-    def _pause_accepting(self) -> None:
-        """Leave the queue alone for a moment: what waits there is served later, and nothing spins."""
-        loop, listening = IOLoop.current(), self._listening
-        if listening is not None:
-            loop.remove_handler(listening)
-            loop.call_later(ACCEPT_PAUSE_S, self._resume_accepting, listening)
+        self._listener.stop()
 
-    def _resume_accepting(self, listening: socket.socket) -> None:
-        if self._listening is listening:
-            IOLoop.current().add_handler(listening, self._accept_some, IOLoop.READ)
+    def _has_room(self) -> bool:
+        return len(self.conns) < self.most() or self._make_room()
 
     def _accept(self, sock: socket.socket) -> None:
         self._numbers += 1
--- a/tests/test_platform_callers.py
+++ b/tests/test_platform_callers.py
@@ -10,11 +10,11 @@
 from dapplehinge.platform.shutdown import CROSSING_MS
 from dapplehinge.platform.telemetry import CallerClose, Shed
 from dapplehinge.proxy.platform.callers import (
-    ACCEPT_PAUSE_S,
     CLOSE_GRACE_MS,
     IDLE_TIMEOUT_MS,
     Callers,
 )
+from dapplehinge.proxy.platform.listener import ACCEPT_PAUSE_S
 from dapplehinge.proxy.platform.turns import Turns
 from dapplehinge.sip.codec import response
 from tests.platform_kit import Rig, of, said
