Releases: invented calls no longer use up the copies of what is owed

A release that somebody else received shared its few copies with releases of calls that only a client vouches for; one client could invent thousands of those. Each kind has a queue and a bound of its own. The new test fails before.

--- a/dapplehinge/platform/releases.py
+++ b/dapplehinge/platform/releases.py
@@ -35,15 +35,6 @@
 UNTOLD_KEPT_MS = 60_000.0
 """For which one is told on the connections that come."""
 
-MAX_FIRST_COPIES = 1024
-"""Between two ticks, of releases that were told nowhere: a full table is told within a second."""
-
-MAX_COPIES = 64
-"""The same of those that were told before on a connection that may be another's."""
-
-MAX_LATE_COPIES = 8
-"""The same of those that are put behind, or that nobody but a caller vouches for."""
-
 
 class Trust(IntEnum):
     """That a connection is a caller's, by what came on it; whose caller's it does not tell."""
@@ -62,6 +53,10 @@
     UNTOLD = 4
 
 
+MAX_COPIES = {Need.UNTOLD: 1024, Need.WAITING: 64, Need.DEFERRED: 8, Need.UNCONFIRMED: 8}
+"""Told between two ticks; those that were told nowhere so that a full table is told within a second."""
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     """Write a release on a connection."""
@@ -146,13 +141,9 @@
         self._owed: dict[int, _Owed] = {}  # by call id, the oldest first
         self._told: dict[int, set[int]] = {}  # connection -> ids of the releases told on it
         self._shares: dict[Need, Shares[int]] = {need: Shares() for need in Need}
-        # to be told on further connections of callers, the most urgent first
-        self._untold: dict[int, _Owed] = {}
-        self._waiting: dict[int, _Owed] = {}
-        self._late: dict[int, _Owed] = {}
-        self._first_copies_left = MAX_FIRST_COPIES
-        self._copies_left = MAX_COPIES
-        self._late_copies_left = MAX_LATE_COPIES
+        # by call id, to be told on further connections of callers; what was told last comes last
+        self._queues: dict[Need, dict[int, _Owed]] = {need: {} for need in MAX_COPIES}
+        self._copies_left = dict(MAX_COPIES)
 
     def __len__(self) -> int:
         return len(self._owed)
@@ -171,15 +162,10 @@
         """A connection was used as callers do."""
         if connection not in self._open or not self._callers.use(connection, trust):
             return []
-        sends = []
-        copies = [
-            *islice(self._untold.values(), self._first_copies_left),
-            *islice(self._waiting.values(), self._copies_left),
-            *islice(self._late.values(), self._late_copies_left),
-        ]
-        for owed in copies:
-            sends += self._copy(owed, connection)
-        return sends
+        copies: list[_Owed] = []
+        for need, queue in self._queues.items():
+            copies += islice(queue.values(), self._copies_left[need])
+        return [send for owed in copies for send in self._copy(owed, connection)]
 
     def finishing(self, connection: int) -> None:
         """A connection was told its end: what was written on it is read, and nothing more can be written."""
@@ -235,44 +221,32 @@
                 self._drop(call_id)
             elif now - owed.since >= TOLD_KEPT_MS and owed.told_on:
                 self._defer(owed)
-        self._first_copies_left = MAX_FIRST_COPIES
-        self._copies_left, self._late_copies_left = MAX_COPIES, MAX_LATE_COPIES
-        return [*self._tell_waiting(), *self._tell_late()]
+        self._copies_left = dict(MAX_COPIES)
+        # what was told nowhere comes after what waits, so that its next copies wait for the next tick
+        order = (Need.WAITING, Need.UNTOLD, Need.DEFERRED, Need.UNCONFIRMED)
+        return [send for need in order for send in self._tell_queue(need)]
 
-    def _tell_waiting(self) -> list[Send]:
+    def _tell_queue(self, need: Need) -> list[Send]:
         """Each on its next connection, again and again while there is one."""
         sends: list[Send] = []
-        for owed in list(islice(self._untold.values(), self._first_copies_left)):
-            sends += self._tell_next(owed)
-        more = list(self._waiting.values())
-        while more and self._copies_left > 0:
+        queue = self._queues[need]
+        more = list(queue.values())
+        while more and self._copies_left[need] > 0:
             told = []
             for owed in more:
-                copy = self._tell_next(owed)
-                sends += copy
-                if copy:
-                    told.append(owed)
-                if self._copies_left <= 0:
+                if self._copies_left[need] <= 0:
                     break
-            more = told
-        return sends
-
-    def _tell_late(self) -> list[Send]:
-        """Those in turn: what was told now comes last the next time."""
-        sends: list[Send] = []
-        for call_id, owed in list(self._late.items()):
-            if self._late_copies_left <= 0:
-                break
-            if copy := self._tell_next(owed):
-                sends += copy
-                self._late[call_id] = self._late.pop(call_id)
+                if copy := self._tell_next(owed):
+                    sends += copy
+                    told.append(owed)
+            more = [owed for owed in told if owed.need is need]
         return sends
 
     # One release
 
     def _tell_likeliest(self, owed: _Owed) -> list[Send]:
         connection = self._callers.likeliest()
-        if connection is None or owed.need is not Need.UNTOLD or self._first_copies_left <= 0:
+        if connection is None or owed.need is not Need.UNTOLD or not self._copies_left[Need.UNTOLD]:
             return []
         return self._copy(owed, connection)
 
@@ -287,13 +261,7 @@
     def _copy(self, owed: _Owed, connection: int) -> list[Send]:
         if connection in owed.told_on:
             return []
-        match owed.need:
-            case Need.UNTOLD:
-                self._first_copies_left -= 1
-            case Need.WAITING:
-                self._copies_left -= 1
-            case _:
-                self._late_copies_left -= 1
+        self._copies_left[owed.need] -= 1
         return [self._tell(owed, connection)]
 
     def _tell(self, owed: _Owed, connection: int) -> Send:
@@ -307,12 +275,8 @@
         call_id = owed.release.id
         self._unplace(call_id)
         self._shares[owed.need].add(owed.release.conn, call_id)
-        if owed.need is Need.UNTOLD:
-            self._untold[call_id] = owed
-        elif owed.need is Need.WAITING:
-            self._waiting[call_id] = owed
-        elif not owed.certain:
-            self._late[call_id] = owed
+        if not owed.certain:
+            self._queues[owed.need][call_id] = owed
 
     def _defer(self, owed: _Owed) -> None:
         if not owed.deferred:
@@ -322,9 +286,8 @@
     def _unplace(self, call_id: int) -> None:
         for shares in self._shares.values():
             shares.remove(call_id)
-        self._untold.pop(call_id, None)
-        self._waiting.pop(call_id, None)
-        self._late.pop(call_id, None)
+        for queue in self._queues.values():
+            queue.pop(call_id, None)
 
     def _drop(self, call_id: int) -> None:
         owed = self._owed.pop(call_id, None)
--- a/tests/test_platform_releases.py
+++ b/tests/test_platform_releases.py
@@ -7,12 +7,11 @@
 from dapplehinge.platform.actions import ReleaseCaller
 from dapplehinge.platform.releases import (
     MAX_COPIES,
-    MAX_FIRST_COPIES,
-    MAX_LATE_COPIES,
     MAX_RELEASES,
     TOLD_KEPT_MS,
     UNTOLD_KEPT_MS,
     CallerReleases,
+    Need,
     Send,
     Trust,
 )
@@ -111,15 +110,15 @@
     releases.trusted(OWN, Trust.ANSWERED)
     releases.ended(OWN)
     releases.add(bye(), 0.0)
-    others = range(2, 2 + 10 * MAX_COPIES)
+    others = range(2, 2 + 10 * MAX_COPIES[Need.WAITING])
     told = []
     for connection in others:
         releases.connected(connection)
         told += sent(releases.trusted(connection, Trust.OFFERED))
-    assert len(told) <= 1 + MAX_COPIES
+    assert len(told) <= 1 + MAX_COPIES[Need.WAITING]
     for tick in range(1, 12):
         more = sent(releases.tick(tick * TICK_MS))
-        assert len(more) <= MAX_COPIES
+        assert len(more) <= MAX_COPIES[Need.WAITING]
         told += more
     assert sorted(told) == list(others)
 
@@ -130,13 +129,13 @@
     for call in range(50):
         releases.add(bye(call), 0.0)
         releases.received(call, 3)
-    assert ids(releases.trusted(4, Trust.ANSWERED)) == list(range(MAX_LATE_COPIES))
+    assert ids(releases.trusted(4, Trust.ANSWERED)) == list(range(MAX_COPIES[Need.DEFERRED]))
     told = []
     for tick in range(1, 8):
         more = releases.tick(tick * TICK_MS)
-        assert len(more) <= MAX_LATE_COPIES
+        assert len(more) <= MAX_COPIES[Need.DEFERRED]
         told += ids(more)
-    assert sorted(told) == list(range(MAX_LATE_COPIES, 50))
+    assert sorted(told) == list(range(MAX_COPIES[Need.DEFERRED], 50))
 
 
 def test_releases_that_nobody_can_be_told_do_not_fill_the_memory(releases):
@@ -145,7 +144,7 @@
         releases.add(bye(call), 0.0)
     assert len(releases) == MAX_RELEASES
     told = ids(releases.trusted(3, Trust.ANSWERED))
-    assert len(told) == MAX_FIRST_COPIES
+    assert len(told) == MAX_COPIES[Need.UNTOLD]
     for tick in range(3):
         told += ids(releases.tick(tick * TICK_MS))
     assert len(told) == len(set(told)) == MAX_RELEASES  # within a second
@@ -175,7 +174,18 @@
     releases.ended(OWN)
     releases.add(bye(), 0.0)
     told = ids(releases.trusted(3, Trust.ANSWERED))
-    assert told[0] == 0x11 and len(told) <= 1 + MAX_LATE_COPIES
+    assert told[0] == 0x11 and len(told) <= 1 + MAX_COPIES[Need.DEFERRED]
+
+
+def test_one_client_s_invented_calls_do_not_delay_a_release_that_he_has_received(releases):
+    for call in range(0x1000, 0x1000 + MAX_RELEASES // 2):
+        releases.add(replace(bye(call, 2), confirmed=False), 0.0)
+    releases.ended(2)
+    releases.ended(OWN)
+    releases.trusted(3, Trust.ANSWERED)
+    assert sent(releases.add(bye(), 0.0)) == [3]
+    releases.received(0x11, 3)
+    assert 0x11 in ids(releases.trusted(4, Trust.ANSWERED))
 
 
 def test_nothing_is_written_to_a_connection_that_was_told_its_end(releases):
