--- a/dapplehinge/platform/shares.py
+++ b/dapplehinge/platform/shares.py
@@ -52,8 +52,14 @@
 
     def move(self, holder: int, to: int) -> None:
         """All that one holder has counts as another's newest."""
-        for key, weight in list(self._keys.get(holder, {}).items()):
-            self.add(to, key, weight)
+        keys = self._keys.pop(holder, None)
+        if keys is None:
+            return
+        weight, _ = self._share.pop(holder)
+        self._keys.setdefault(to, {}).update(keys)
+        self._holder.update(dict.fromkeys(keys, to))
+        self.total += weight  # which is negative: it is added again below
+        self._weigh(to, -weight)
 
     def newest_of_largest(self) -> Key | None:
         """The newest key of the holder with the most; of several such holders the one that changed last."""
