Tests: a port that a process is to listen on is kept for it

Traced by its log: "Address already in use" as the proxy started. The soak drew a free port and let go of it, and one of its own stand-ins was given the same one, which the callers then reached. tests/ports.py holds it, bound but not listening, so that the system gives it to nobody else; the proxy may listen there by SO_REUSEADDR.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,6 @@
 import os
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +19,7 @@
 from time import monotonic, time
 from typing import Any
 
+from tests.ports import free_port
 from tests.soak.callers import Callers
 from tests.soak.discovery import Discovery
 from tests.soak.plan import (
@@ -72,9 +72,7 @@
         self.records = Records(
             GUARD_MS / 1000.0, DRAIN_GRACE_MS / 1000.0, deployment.sockets, deployment.switches
         )
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.address: tuple[str, int] = ("127.0.0.1", probe.getsockname()[1])
+        self.address = ("127.0.0.1", free_port())
         self.callers = Callers(plan.deployment, plan.callers, self.random, self.records, self.address)
         self.discovery = Discovery(self.records.changes)
         self.switches: dict[int, Switch] = {}  # by place, the present one
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -13,8 +13,9 @@
 from dapplehinge.proxy.platform.feed import Feed
 from dapplehinge.proxy.platform.node import Node
 from tests.platform_kit import SETTINGS, Rig, said
+from tests.ports import free_port
 from tests.test_platform_feed import AnsweringAddress
-from tests.test_platform_live import PATIENCE, free_port
+from tests.test_platform_live import PATIENCE
 
 
 def fail(*_):
--- a/tests/test_platform_live.py
+++ b/tests/test_platform_live.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -19,18 +18,13 @@
 from dapplehinge.proxy.platform.links import Links
 from dapplehinge.sip import codec as sip
 from tests.platform_kit import SETTINGS, event, row
+from tests.ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
 PATIENCE = 30.0
 """Seconds after which a test gives up; no verdict depends on how fast a step is."""
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Switch:
     """Answers by the number called: ...a1 stands, ...f1 is turned back, ...e1 engaged, ...00 says nothing."""
 
