--- a/dapplehinge/rules.py
+++ b/dapplehinge/rules.py
@@ -302,8 +302,7 @@
         destination, switch, sent, rung = call.offer.destination, event.switch, call.sent, call.rung
         outcome = event.outcome
         refused = event.cause in (Cause.TURNED_BACK, Cause.TURNED_BACK_FULL, Cause.PROCESSOR_FULL)
-        late = outcome is Outcome.TIMED_OUT and self.was_late(rung, sent)
-        if late or outcome in (Outcome.UNREACHABLE, Outcome.CUT) or (
+        if outcome in (Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.CUT) or (
             outcome is Outcome.REJECTED and refused
         ):
             rung.went_bad(sent)
@@ -345,14 +344,6 @@
             self.advance(call)
         self.wake(destination)
 
-    def was_late(self, rung: Rung, sent: float) -> bool:
-        """A set-up that did not stand was out for longer than C.
-
-        Guards against callers who leave it less time than that: the end of their time says nothing of the
-        route, which others need. It may hurt where all callers have that little time.
-        """
-        return self.now - sent > rung.allowed(self.limit)
-
     def reported(self, event: SwitchReport) -> None:
         switch = self.switches.get(event.switch)
         if switch is None:
@@ -387,8 +378,7 @@
             elif self.now >= call.due:
                 if self.settings.may_cancel:
                     self.out.append(Cancel(call.offer.call, call.attempts - 1))
-                if self.was_late(call.rung, call.sent):
-                    call.rung.went_bad(call.sent)
+                call.rung.went_bad(call.sent)
                 self.end_failed(call)
 
     def shutting_down(self, event: ShutdownStarted) -> None:
